Set down the shape: stepped cores, rings, duties and one query end to end

Change: core/engine and core/control are stepped with events and return effects; internal/ring joins duties, internal/duty starts them on ants; hertz, INI notes and settings at the edges; stand-in platform and targets as a process. Ruled out: effects as an interface slice, which would box each send (the engine's bound is one allocation a sub-request); typed slices reused between steps instead.

--- /dev/null
+++ b/cmd/pollentack/check.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/note"
+	"pollentack.example/pollentack/internal/settings"
+)
+
+type settingsCmd struct {
+	Check settingsCheckCmd `cmd:"" help:"Check settings files and print every fault."`
+}
+
+type settingsCheckCmd struct {
+	Files []string `arg:"" help:"Settings files (INI)." type:"existingfile"`
+}
+
+// Run checks each file; exit code 2 means that one has faults.
+func (cmd *settingsCheckCmd) Run() error {
+	for _, path := range cmd.Files {
+		if _, err := settings.Load(path); err != nil {
+			return usage(err)
+		}
+		fmt.Printf("%s: ok\n", path)
+	}
+	return nil
+}
+
+type noteCmd struct {
+	Check noteCheckCmd `cmd:"" help:"Fold notes in order and print every fault."`
+}
+
+type noteCheckCmd struct {
+	Files []string `arg:"" help:"Note files (INI) in their order, a baseline first." type:"existingfile"`
+}
+
+// Run folds the notes; exit code 2 means that one would be refused.
+func (cmd *noteCheckCmd) Run() error {
+	var state *release.State
+	for _, path := range cmd.Files {
+		next, err := foldFile(state, path)
+		if err != nil {
+			return usage(err)
+		}
+		state = next
+		fmt.Printf("%s: ok, note %d\n", path, state.Number)
+	}
+	return nil
+}
+
+func foldFile(state *release.State, path string) (*release.State, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read note: %w", err)
+	}
+	n, err := note.Parse(path, text)
+	if err != nil {
+		return nil, err
+	}
+	next, faults := release.Fold(state, n)
+	if len(faults) > 0 {
+		return nil, note.FaultsOf(path, faults)
+	}
+	return next, nil
+}
--- /dev/null
+++ b/cmd/pollentack/main.go
@@ -0,0 +1,80 @@
+// Command pollentack is a query tier over many shards: it takes a caller's query, asks
+// every shard of a service and gives one answer with the coverage that it truly has.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes of every command.
+const (
+	// exitFailed: the command ran and what it checked or did failed.
+	exitFailed = 1
+	// exitUsage: the command line or a file it names is wrong.
+	exitUsage = 2
+)
+
+// errFailed ends a command with exitFailed; its text has been printed already.
+var errFailed = errors.New("failed")
+
+type cli struct {
+	Serve    serveCmd    `cmd:"" help:"Run one entry host."`
+	Standin  standinCmd  `cmd:"" help:"Run a stand-in platform and stand-in targets."`
+	Query    queryCmd    `cmd:"" help:"Send one query to a host and print the answer."`
+	Status   statusCmd   `cmd:"" help:"Show what hosts have in force and what differs between them."`
+	Settings settingsCmd `cmd:"" help:"Work with settings files."`
+	Note     noteCmd     `cmd:"" help:"Work with release notes, offline."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
+}
+
+func main() {
+	var c cli
+	parser := kong.Must(&c,
+		kong.Name("pollentack"),
+		kong.Description("A query tier over many shards.\n\nExit codes: 0 done, 1 the command ran and failed, 2 wrong usage or a faulty file."),
+		kong.UsageOnError(),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.Exit(func(code int) {
+			if code != 0 {
+				code = exitUsage
+			}
+			os.Exit(code)
+		}),
+	)
+	ctx, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
+	os.Exit(exitCode(ctx.Run()))
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return 0
+	}
+	if errors.Is(err, errFailed) {
+		return exitFailed
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+// usageError is a fault of what the user gave, not of the run.
+type usageError struct{ err error }
+
+func (e *usageError) Error() string { return e.err.Error() }
+
+func (e *usageError) Unwrap() error { return e.err }
+
+func usage(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &usageError{err: err}
+}
--- /dev/null
+++ b/internal/core/engine/effect.go
@@ -0,0 +1,59 @@
+package engine
+
+import (
+	"time"
+
+	"pollentack.example/pollentack/internal/core/query"
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/core/result"
+	"pollentack.example/pollentack/internal/core/target"
+)
+
+// Send asks for one request to one target.
+type Send struct {
+	Attempt  query.AttemptID
+	Target   target.ID
+	Spec     *release.Target
+	Snapshot *release.Snapshot
+	Request  *query.Request
+	// Deadline is on the monotonic clock; the target is told what is left of it.
+	Deadline time.Duration
+}
+
+// Cancel asks a target to give up an attempt that has lost.
+type Cancel struct {
+	Attempt query.AttemptID
+	Spec    *release.Target
+}
+
+// Answer ends a request towards its caller.
+type Answer struct {
+	Key      uint64
+	Code     result.Code
+	Detail   string
+	Snapshot release.Key
+	Coverage float64
+	Shards   int
+	Missing  []int32
+	Hits     []query.Hit
+	Attempts int
+	Elapsed  time.Duration
+}
+
+// Effects are what a step asks its caller to do. The caller carries them out, then
+// calls Reset and hands the same value to the next step, so that a step allocates none.
+type Effects struct {
+	Sends   []Send
+	Cancels []Cancel
+	Answers []Answer
+}
+
+// Reset empties the effects and keeps their memory.
+func (fx *Effects) Reset() {
+	clear(fx.Sends)
+	clear(fx.Cancels)
+	clear(fx.Answers)
+	fx.Sends = fx.Sends[:0]
+	fx.Cancels = fx.Cancels[:0]
+	fx.Answers = fx.Answers[:0]
+}
--- /dev/null
+++ b/internal/edge/front/front.go
@@ -0,0 +1,166 @@
+// Package front takes callers' requests over HTTP and translates them for the engine.
+// It decides nothing but the shape of a request.
+package front
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/query"
+	"pollentack.example/pollentack/internal/core/result"
+	"pollentack.example/pollentack/internal/edge/httpd"
+)
+
+// QueryBody is the JSON body of a query.
+type QueryBody struct {
+	Query     string `json:"query"`
+	Limit     int    `json:"limit"`
+	TimeoutMS int64  `json:"timeout_ms"`
+}
+
+// AnswerBody is the JSON body of every answer and refusal.
+type AnswerBody struct {
+	Code      result.Code `json:"code"`
+	Name      string      `json:"name"`
+	Detail    string      `json:"detail,omitempty"`
+	Version   uint64      `json:"version,omitempty"`
+	Layout    string      `json:"layout,omitempty"`
+	Coverage  float64     `json:"coverage"`
+	Shards    int         `json:"shards"`
+	Missing   []int32     `json:"missing,omitempty"`
+	Attempts  int         `json:"attempts"`
+	ElapsedUS int64       `json:"elapsed_us"`
+	Hits      []query.Hit `json:"hits,omitempty"`
+}
+
+const (
+	defaultLimit = 10
+	maxLimit     = 1000
+)
+
+// Front is the listener for callers.
+type Front struct {
+	submit  func(*engine.Submit) bool
+	next    atomic.Uint64
+	refused atomic.Bool
+
+	mu      sync.Mutex
+	waiting map[uint64]chan engine.Answer
+
+	server *httpd.Server
+}
+
+// Start listens on address. submit hands a request over and reports whether it was taken.
+func Start(address string, limits httpd.Limits, submit func(*engine.Submit) bool) (*Front, error) {
+	f := &Front{submit: submit, waiting: map[uint64]chan engine.Answer{}}
+	s, err := httpd.Start(address, limits, f.routes)
+	if err != nil {
+		return nil, err
+	}
+	f.server = s
+	return f, nil
+}
+
+// Address returns where the front listens.
+func (f *Front) Address() string { return f.server.Address() }
+
+// FailHealth makes the balancer's check fail from now on.
+func (f *Front) FailHealth() { f.refused.Store(true) }
+
+// Stop stops listening once the requests in progress have been answered.
+func (f *Front) Stop() { f.server.Close() }
+
+// Deliver hands an answer to the caller that waits for it.
+func (f *Front) Deliver(a *engine.Answer) {
+	f.mu.Lock()
+	ch, ok := f.waiting[a.Key]
+	delete(f.waiting, a.Key)
+	f.mu.Unlock()
+	if ok {
+		ch <- *a
+	}
+}
+
+func (f *Front) routes(h *server.Hertz) {
+	h.POST("/v1/services/:service/query", f.query)
+	h.GET("/healthz", f.healthz)
+}
+
+func (f *Front) healthz(_ context.Context, c *app.RequestContext) {
+	if f.refused.Load() {
+		c.String(http.StatusServiceUnavailable, "leaving\n")
+		return
+	}
+	c.String(http.StatusOK, "ok\n")
+}
+
+func (f *Front) query(_ context.Context, c *app.RequestContext) {
+	var body QueryBody
+	if err := json.Unmarshal(c.Request.Body(), &body); err != nil {
+		write(c, &engine.Answer{Code: result.BadRequest, Detail: err.Error()})
+		return
+	}
+	if body.Limit < 0 || body.Limit > maxLimit || body.TimeoutMS < 0 {
+		write(c, &engine.Answer{Code: result.BadRequest, Detail: "limit or timeout_ms is out of range"})
+		return
+	}
+	if body.Limit == 0 {
+		body.Limit = defaultLimit
+	}
+	answer := f.await(&query.Request{
+		KeyHash:     sha256.Sum256([]byte(bearer(c))),
+		Service:     c.Param("service"),
+		Body:        []byte(body.Query),
+		Limit:       body.Limit,
+		Timeout:     time.Duration(body.TimeoutMS) * time.Millisecond,
+		TraceParent: string(c.GetHeader("traceparent")),
+	})
+	write(c, &answer)
+}
+
+func bearer(c *app.RequestContext) string {
+	return strings.TrimPrefix(string(c.GetHeader("Authorization")), "Bearer ")
+}
+
+// await submits the request and blocks until its answer.
+func (f *Front) await(req *query.Request) engine.Answer {
+	req.Key = f.next.Add(1)
+	ch := make(chan engine.Answer, 1)
+	f.mu.Lock()
+	f.waiting[req.Key] = ch
+	f.mu.Unlock()
+	if !f.submit(&engine.Submit{Request: req}) {
+		f.mu.Lock()
+		delete(f.waiting, req.Key)
+		f.mu.Unlock()
+		return engine.Answer{Code: result.QueueFull, Detail: "the host's ring of new queries is full"}
+	}
+	return <-ch
+}
+
+func write(c *app.RequestContext, a *engine.Answer) {
+	info := a.Code.Info()
+	c.JSON(info.HTTP, AnswerBody{
+		Code:      a.Code,
+		Name:      info.Name,
+		Detail:    a.Detail,
+		Version:   a.Snapshot.Version,
+		Layout:    a.Snapshot.Layout,
+		Coverage:  a.Coverage,
+		Shards:    a.Shards,
+		Missing:   a.Missing,
+		Attempts:  a.Attempts,
+		ElapsedUS: a.Elapsed.Microseconds(),
+		Hits:      a.Hits,
+	})
+}
--- /dev/null
+++ b/internal/edge/httpd/httpd.go
@@ -0,0 +1,78 @@
+// Package httpd starts hertz servers the same way for every listener of the system.
+package httpd
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+
+	"pollentack.example/pollentack/internal/duty"
+)
+
+// Limits bound what a listener takes.
+type Limits struct {
+	BodyBytes int
+}
+
+// Server is one listener.
+type Server struct {
+	address string
+	hertz   *server.Hertz
+	group   *duty.Group
+}
+
+const (
+	readTimeout  = 30 * time.Second
+	idleTimeout  = 90 * time.Second
+	closeTimeout = 2 * time.Second
+)
+
+// Start listens on address and serves the routes that route adds.
+func Start(address string, limits Limits, route func(*server.Hertz)) (*Server, error) {
+	hlog.SetLevel(hlog.LevelFatal)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	h := server.New(
+		server.WithListener(listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(limits.BodyBytes),
+		server.WithReadTimeout(readTimeout),
+		server.WithIdleTimeout(idleTimeout),
+		server.WithExitWaitTime(closeTimeout),
+		server.WithDisablePrintRoute(true),
+	)
+	route(h)
+	group, err := duty.NewGroup(1, func(string, error) {})
+	if err != nil {
+		return nil, fmt.Errorf("serve %s: %w", address, err)
+	}
+	s := &Server{address: listener.Addr().String(), hertz: h, group: group}
+	err = group.Start(duty.Duty{
+		Name: "http " + s.address,
+		Run:  func() { _ = h.Run() },
+		Stop: s.shutdown,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("serve %s: %w", address, err)
+	}
+	return s, nil
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() string { return s.address }
+
+// Close stops listening and waits for requests in progress, for a bounded time.
+func (s *Server) Close() { s.group.Stop() }
+
+func (s *Server) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = s.hertz.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/edge/targetclient/client.go
@@ -0,0 +1,165 @@
+// Package targetclient carries out sends and cancels of the engine over the targets'
+// published protocol, and reports how each attempt ended.
+package targetclient
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/query"
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/edge/wallclock"
+	"pollentack.example/pollentack/internal/targetapi"
+)
+
+const (
+	dialTimeout   = time.Second
+	cancelTimeout = time.Second
+	// replyGrace is how long after the deadline a reply is still awaited: the target
+	// is told the deadline and ends by itself.
+	replyGrace = 50 * time.Millisecond
+	// maxConnsPerTarget is above any target's limit, which the engine enforces.
+	maxConnsPerTarget = 4096
+)
+
+// Client makes the calls. Its methods block and are run by workers.
+type Client struct {
+	host  string
+	clock wallclock.Clock
+	http  *client.Client
+}
+
+// New returns a client that names host in its attempts.
+func New(host string, clk wallclock.Clock) (*Client, error) {
+	c, err := client.NewClient(
+		client.WithDialer(standard.NewDialer()),
+		client.WithDialTimeout(dialTimeout),
+		client.WithMaxConnsPerHost(maxConnsPerTarget),
+		client.WithKeepAlive(true),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("target client: %w", err)
+	}
+	return &Client{host: host, clock: clk, http: c}, nil
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Do carries out one send and returns how it ended.
+func (c *Client) Do(s *engine.Send) *engine.Reply {
+	begin := c.clock.Now().Mono
+	left := s.Deadline - begin
+	reply := &engine.Reply{Attempt: s.Attempt, Target: s.Target, Outcome: engine.Unreachable}
+	if left <= 0 {
+		return reply
+	}
+	body, err := json.Marshal(c.searchRequest(s, left))
+	if err != nil {
+		return reply
+	}
+	var answer targetapi.SearchReply
+	err = c.post(s.Spec.Address, targetapi.PathSearch, body, left+replyGrace, &answer)
+	reply.Elapsed = c.clock.Now().Mono - begin
+	if err != nil {
+		reply.Outcome = outcomeOfError(err)
+		return reply
+	}
+	fill(reply, &answer)
+	return reply
+}
+
+// Cancel tells the target that the attempt has lost. A failure costs only its work.
+func (c *Client) Cancel(x *engine.Cancel) {
+	body, err := json.Marshal(c.ref(x.Attempt))
+	if err != nil {
+		return
+	}
+	_ = c.post(x.Spec.Address, targetapi.PathCancel, body, cancelTimeout, nil)
+}
+
+func (c *Client) ref(id query.AttemptID) targetapi.AttemptRef {
+	return targetapi.AttemptRef{Host: c.host, Query: uint64(id.Query), Shard: id.Shard, Try: id.Try}
+}
+
+func (c *Client) searchRequest(s *engine.Send, left time.Duration) *targetapi.SearchRequest {
+	return &targetapi.SearchRequest{
+		Attempt:        c.ref(s.Attempt),
+		Service:        s.Snapshot.Service,
+		Version:        s.Snapshot.Version,
+		Layout:         s.Snapshot.Layout,
+		Shard:          s.Attempt.Shard,
+		Body:           string(s.Request.Body),
+		Limit:          s.Request.Limit,
+		DeadlineMicros: left.Microseconds(),
+	}
+}
+
+func (c *Client) post(address, path string, body []byte, timeout time.Duration, into any) error {
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod("POST")
+	req.SetRequestURI("http://" + address + path)
+	req.SetBody(body)
+	if err := c.http.DoTimeout(context.Background(), req, resp, timeout); err != nil {
+		return fmt.Errorf("post %s%s: %w", address, path, err)
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(resp.Body(), into); err != nil {
+		return fmt.Errorf("decode reply of %s: %w", address, err)
+	}
+	return nil
+}
+
+// outcomeOfError tells a connection that was never made, where nothing ran, from one
+// that was lost after the send.
+func outcomeOfError(err error) engine.Outcome {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return engine.Unreachable
+	}
+	return engine.Lost
+}
+
+var outcomes = map[string]engine.Outcome{
+	targetapi.StatusOK:           engine.Answered,
+	targetapi.StatusShed:         engine.Shed,
+	targetapi.StatusCold:         engine.ColdRefused,
+	targetapi.StatusSnapshotGone: engine.SnapshotGone,
+	targetapi.StatusCancelled:    engine.Cancelled,
+}
+
+func fill(reply *engine.Reply, answer *targetapi.SearchReply) {
+	outcome, ok := outcomes[answer.Status]
+	if !ok {
+		outcome = engine.Lost
+	}
+	reply.Outcome = outcome
+	reply.Incarnation = answer.Incarnation
+	reply.Cold = answer.Cold
+	reply.Leaving = answer.Leaving
+	if outcome != engine.Answered {
+		return
+	}
+	if answer.Count != len(answer.Hits) || answer.Shard != reply.Attempt.Shard {
+		reply.Outcome = engine.Lost
+		return
+	}
+	reply.Snapshot = release.Key{Version: answer.Version, Layout: answer.Layout}
+	reply.Hits = make([]query.Hit, len(answer.Hits))
+	for i, h := range answer.Hits {
+		reply.Hits[i] = query.Hit(h)
+	}
+}
--- /dev/null
+++ b/internal/inifile/file.go
@@ -0,0 +1,164 @@
+// Package inifile reads INI text strictly: it keeps the line of every section and key,
+// and collects all faults rather than the first.
+package inifile
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// Fault is one thing wrong with a file.
+type Fault struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Section string `json:"section,omitempty"`
+	Key     string `json:"key,omitempty"`
+	Reason  string `json:"reason"`
+}
+
+// String returns the fault as file:line: [section] key: reason.
+func (f Fault) String() string {
+	place := fmt.Sprintf("%s:%d:", f.File, f.Line)
+	if f.Section != "" {
+		place += fmt.Sprintf(" [%s]", f.Section)
+	}
+	if f.Key != "" {
+		place += " " + f.Key + ":"
+	}
+	return place + " " + f.Reason
+}
+
+// Faults are all that is wrong with a file.
+type Faults []Fault
+
+// Error lists the faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// File is a parsed INI text.
+type File struct {
+	Name     string
+	Sections []*Section
+	Faults   Faults
+}
+
+// Section is one section in the order of the text.
+type Section struct {
+	Name string
+	Line int
+	keys map[string]entry
+	used map[string]bool
+	file *File
+}
+
+type entry struct {
+	value string
+	line  int
+}
+
+// Parse reads text. Syntax errors, repeated sections and repeated keys are faults.
+func Parse(name string, text []byte) *File {
+	f := &File{Name: name}
+	options := ini.LoadOptions{Insensitive: false, IgnoreInlineComment: false, SkipUnrecognizableLines: true}
+	parsed, err := ini.LoadSources(options, text)
+	if err != nil {
+		f.Faults = append(f.Faults, Fault{File: name, Line: 1, Reason: err.Error()})
+		return f
+	}
+	f.index(text, parsed)
+	return f
+}
+
+// index walks the text for line numbers and takes the values from the parsed file.
+func (f *File) index(text []byte, parsed *ini.File) {
+	var section *Section
+	scanner := bufio.NewScanner(bytes.NewReader(text))
+	scanner.Buffer(nil, len(text)+1)
+	for line := 1; scanner.Scan(); line++ {
+		raw := strings.TrimSpace(scanner.Text())
+		switch {
+		case raw == "" || raw[0] == '#' || raw[0] == ';':
+		case raw[0] == '[':
+			section = f.beginSection(raw, line)
+		default:
+			f.indexKey(section, parsed, raw, line)
+		}
+	}
+}
+
+func (f *File) beginSection(raw string, line int) *Section {
+	end := strings.IndexByte(raw, ']')
+	if end < 0 {
+		f.fault(line, "", "", "section has no closing bracket")
+		return nil
+	}
+	name := strings.TrimSpace(raw[1:end])
+	for _, s := range f.Sections {
+		if s.Name == name {
+			f.fault(line, name, "", fmt.Sprintf("section repeats the one on line %d", s.Line))
+		}
+	}
+	s := &Section{Name: name, Line: line, keys: map[string]entry{}, used: map[string]bool{}, file: f}
+	f.Sections = append(f.Sections, s)
+	return s
+}
+
+func (f *File) indexKey(section *Section, parsed *ini.File, raw string, line int) {
+	at := strings.IndexAny(raw, "=:")
+	if at < 0 {
+		f.fault(line, "", "", fmt.Sprintf("%q is neither a section nor a key with a value", raw))
+		return
+	}
+	key := strings.TrimSpace(raw[:at])
+	if section == nil {
+		f.fault(line, "", key, "key stands before the first section")
+		return
+	}
+	if old, ok := section.keys[key]; ok {
+		f.fault(line, section.Name, key, fmt.Sprintf("key repeats the one on line %d", old.line))
+		return
+	}
+	value := parsed.Section(section.Name).Key(key).Value()
+	section.keys[key] = entry{value: value, line: line}
+}
+
+func (f *File) fault(line int, section, key, reason string) {
+	f.Faults = append(f.Faults, Fault{File: f.Name, Line: line, Section: section, Key: key, Reason: reason})
+}
+
+// Section returns the named section, or nil.
+func (f *File) Section(name string) *Section {
+	for _, s := range f.Sections {
+		if s.Name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// Unknown adds a fault for a section that the reader of the file does not know.
+func (f *File) Unknown(s *Section, known string) {
+	f.fault(s.Line, s.Name, "", "unknown section; known are "+known)
+}
+
+// Err returns the faults as an error, or nil.
+func (f *File) Err() error {
+	if len(f.Faults) == 0 {
+		return nil
+	}
+	return f.Faults
+}
+
+// Empty returns a section without keys, so that a reader can report what is missing.
+func Empty(f *File, name string) *Section {
+	return &Section{Name: name, Line: 1, keys: map[string]entry{}, used: map[string]bool{}, file: f}
+}
--- /dev/null
+++ b/internal/note/faults.go
@@ -0,0 +1,15 @@
+package note
+
+import (
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/inifile"
+)
+
+// FaultsOf gives the faults of a fold the place in the file that they came from.
+func FaultsOf(name string, faults []release.Fault) inifile.Faults {
+	list := make(inifile.Faults, len(faults))
+	for i, f := range faults {
+		list[i] = inifile.Fault{File: name, Line: f.Line, Section: f.Item, Reason: f.Reason}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/note/parse.go
@@ -0,0 +1,206 @@
+// Package note is the INI encoding of release notes.
+//
+// A note begins with a [note] section. Each further section is one item:
+// "[add KIND NAME]", "[change KIND NAME]" or "[withdraw KIND NAME]". A baseline note
+// has only "add" items. The decisions on a note are in core/release.
+package note
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/inifile"
+)
+
+// MaxBytes bounds a note: the platform holds values up to a megabyte.
+const MaxBytes = 1 << 20
+
+var ops = map[string]release.Op{
+	"add":      release.Add,
+	"change":   release.Change,
+	"withdraw": release.Withdraw,
+}
+
+// Parse reads a note. The error is an inifile.Faults that lists every fault.
+func Parse(name string, text []byte) (*release.Note, error) {
+	if len(text) > MaxBytes {
+		return nil, inifile.Faults{{File: name, Line: 1, Reason: fmt.Sprintf("note has %d bytes; allowed are %d", len(text), MaxBytes)}}
+	}
+	f := inifile.Parse(name, text)
+	n := &release.Note{}
+	for _, s := range f.Sections {
+		if s.Name == "note" {
+			readHead(n, s)
+			continue
+		}
+		readItem(n, f, s)
+	}
+	if f.Section("note") == nil {
+		inifile.Empty(f, "note").Fault("", "section is required")
+	}
+	return n, f.Err()
+}
+
+func readHead(n *release.Note, s *inifile.Section) {
+	n.Number = s.Uint("number")
+	n.Baseline = s.Choice("kind", "change", "baseline", "change") == "baseline"
+	if !n.Baseline {
+		n.Follows = s.Uint("follows")
+	}
+	s.RejectUnused()
+}
+
+const itemForm = "add, change or withdraw, then availability-zone, host, service, snapshot, caller or target, then a name"
+
+func readItem(n *release.Note, f *inifile.File, s *inifile.Section) {
+	words := strings.Fields(s.Name)
+	if len(words) < 3 || ops[words[0]] == 0 {
+		f.Unknown(s, "note and items: "+itemForm)
+		return
+	}
+	item := release.Item{Op: ops[words[0]], Line: s.Line}
+	if !readKind(&item, s, words[1], words[2:]) {
+		f.Unknown(s, "note and items: "+itemForm)
+		return
+	}
+	s.RejectUnused()
+	n.Items = append(n.Items, item)
+}
+
+func readKind(item *release.Item, s *inifile.Section, kind string, names []string) bool {
+	name := names[0]
+	gone := item.Op == release.Withdraw
+	switch kind {
+	case "availability-zone":
+		item.Zone = &release.Zone{Name: name}
+		if !gone {
+			readZone(item.Zone, s)
+		}
+	case "host":
+		item.Host = &release.Host{Name: name}
+		if !gone {
+			readHost(item.Host, s)
+		}
+	case "service":
+		item.Service = &release.Service{Name: name}
+		if !gone {
+			readService(item.Service, s)
+		}
+	case "caller":
+		item.Caller = &release.Caller{Name: name}
+		if !gone {
+			readCaller(item.Caller, s)
+		}
+	case "target":
+		item.Target = &release.Target{Name: name}
+		if !gone {
+			readTarget(item.Target, s)
+		}
+	case "snapshot":
+		return readSnapshot(item, s, names)
+	default:
+		return false
+	}
+	return true
+}
+
+func readZone(z *release.Zone, s *inifile.Section) {
+	z.Region = s.Required("region")
+	z.Out = s.Choice("state", "in", "in", "out") == "out"
+}
+
+func readHost(h *release.Host, s *inifile.Section) {
+	h.Zone = s.Required("availability-zone")
+	h.Mesh = s.Required("mesh")
+}
+
+var criticalities = map[string]release.Criticality{
+	"sheddable": release.Sheddable,
+	"standard":  release.Standard,
+	"critical":  release.Critical,
+}
+
+// Defaults and bounds of a service's policy.
+const (
+	defaultDeadline    = 500 * time.Millisecond
+	maxDeadline        = time.Minute
+	defaultHedgeBudget = 0.05
+)
+
+func readService(svc *release.Service, s *inifile.Section) {
+	svc.Once = s.Bool("once", false)
+	p := &svc.Policy
+	p.Deadline = s.Duration("deadline", defaultDeadline, time.Millisecond, maxDeadline)
+	p.Whole = s.Choice("answer", "in-time", "in-time", "whole") == "whole"
+	p.MinCoverage = s.Float("min-coverage", 0, 0, 1)
+	p.HedgeBudget = s.Float("hedge-budget", defaultHedgeBudget, 0, defaultHedgeBudget)
+	p.Canary = s.Bool("canary", false)
+	p.Criticality = criticalities[s.Choice("criticality", "standard", "sheddable", "standard", "critical")]
+}
+
+func readCaller(c *release.Caller, s *inifile.Section) {
+	text := s.Required("key-sha256")
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != sha256.Size {
+		s.Fault("key-sha256", "is not %d hexadecimal digits", 2*sha256.Size)
+	} else {
+		c.KeyHash = [sha256.Size]byte(raw)
+	}
+	c.Services = map[string]bool{}
+	for _, name := range s.List("services") {
+		c.Services[name] = true
+	}
+	c.Rate = s.Float("rate-per-second", 0, 0, 1e6)
+}
+
+func readTarget(t *release.Target, s *inifile.Section) {
+	t.Address = s.Required("address")
+	t.Zone = s.Required("availability-zone")
+	t.Service = s.Required("service")
+	t.Slots = s.Int("slots", 1, 1, 10_000)
+	t.Connections = s.Int("connections", 25, 1, 100_000)
+	t.ColdBudget = s.Int("cold-budget", 1, 1, 10_000)
+	t.Leaving = s.Bool("leaving", false)
+}
+
+// readSnapshot reads "[add snapshot SERVICE VERSION/LAYOUT]".
+func readSnapshot(item *release.Item, s *inifile.Section, names []string) bool {
+	if len(names) != 2 {
+		return false
+	}
+	version, layout, ok := strings.Cut(names[1], "/")
+	number, err := strconv.ParseUint(version, 10, 64)
+	if !ok || err != nil || layout == "" {
+		return false
+	}
+	item.Snapshot = &release.Snapshot{Service: names[0], Version: number, Layout: layout}
+	if item.Op != release.Withdraw {
+		readShards(item.Snapshot, s)
+	}
+	return true
+}
+
+const maxShards = 100_000
+
+func readShards(snap *release.Snapshot, s *inifile.Section) {
+	count := s.Int("shards", 0, 1, maxShards)
+	if !s.Has("shards") {
+		s.Fault("shards", "is required")
+	}
+	for i := range min(max(count, 0), maxShards) {
+		shard := release.Shard{
+			Weight:   s.Float(fmt.Sprintf("weight.%d", i), 1, 0, 1e9),
+			Replicas: s.List(fmt.Sprintf("replicas.%d", i)),
+		}
+		if len(shard.Replicas) == 0 {
+			s.Fault(fmt.Sprintf("replicas.%d", i), "is required")
+		}
+		snap.Weight += shard.Weight
+		snap.Shards = append(snap.Shards, shard)
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,142 @@
+// Package settings reads the INI file from which a host learns its name, its
+// availability zone, its addresses and its limits.
+package settings
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"pollentack.example/pollentack/internal/inifile"
+)
+
+// Settings are one host's settings.
+type Settings struct {
+	Host     Host
+	Listen   Listen
+	Platform Platform
+	Limits   Limits
+	Policy   Policy
+	Log      Log
+	Trace    Trace
+}
+
+// Host says who this process is.
+type Host struct {
+	Name string
+	Zone string
+}
+
+// Listen holds the addresses that the host listens on.
+type Listen struct {
+	Front string
+	Admin string
+	Mesh  string
+}
+
+// Platform says where the configuration service is.
+type Platform struct {
+	Address string
+	// Poll is the longest wait of one watch call.
+	Poll time.Duration
+}
+
+// Limits bound what the host holds.
+type Limits struct {
+	Queries     int
+	BodyBytes   int
+	Connections int
+}
+
+// Policy selects the baselines that experiments compare with.
+type Policy struct {
+	Hedge bool
+	Seed  int
+}
+
+// Log says how much is logged.
+type Log struct{ Level string }
+
+// Trace selects where spans go.
+type Trace struct {
+	Exporter string
+	Address  string
+	File     string
+}
+
+const knownSections = "host, listen, platform, limits, policy, log, trace"
+
+// Load reads and checks the file at path. The error lists every fault.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads and checks settings; name stands for the file in faults.
+func Parse(name string, text []byte) (*Settings, error) {
+	f := inifile.Parse(name, text)
+	s := &Settings{}
+	readers := map[string]func(*inifile.Section){
+		"host":     s.readHost,
+		"listen":   s.readListen,
+		"platform": s.readPlatform,
+		"limits":   s.readLimits,
+		"policy":   s.readPolicy,
+		"log":      s.readLog,
+		"trace":    s.readTrace,
+	}
+	for _, section := range f.Sections {
+		read, ok := readers[section.Name]
+		if !ok {
+			f.Unknown(section, knownSections)
+			continue
+		}
+		read(section)
+		section.RejectUnused()
+		delete(readers, section.Name)
+	}
+	for section, read := range readers {
+		read(inifile.Empty(f, section))
+	}
+	return s, f.Err()
+}
+
+func (s *Settings) readHost(sec *inifile.Section) {
+	s.Host.Name = sec.Required("name")
+	s.Host.Zone = sec.Required("availability-zone")
+}
+
+func (s *Settings) readListen(sec *inifile.Section) {
+	s.Listen.Front = sec.Required("front")
+	s.Listen.Admin = sec.Required("admin")
+	s.Listen.Mesh = sec.Text("mesh", "")
+}
+
+func (s *Settings) readPlatform(sec *inifile.Section) {
+	s.Platform.Address = sec.Required("address")
+	s.Platform.Poll = sec.Duration("poll", 10*time.Second, 100*time.Millisecond, time.Minute)
+}
+
+func (s *Settings) readLimits(sec *inifile.Section) {
+	s.Limits.Queries = sec.Int("queries", 4096, 1, 1_000_000)
+	s.Limits.BodyBytes = sec.Int("body-bytes", 64<<10, 1<<10, 16<<20)
+	s.Limits.Connections = sec.Int("connections", 2048, 1, 65_535)
+}
+
+func (s *Settings) readPolicy(sec *inifile.Section) {
+	s.Policy.Hedge = sec.Bool("hedge", true)
+	s.Policy.Seed = sec.Int("seed", 1, 0, 1<<31-1)
+}
+
+func (s *Settings) readLog(sec *inifile.Section) {
+	s.Log.Level = sec.Choice("level", "info", "debug", "info", "warn", "error")
+}
+
+func (s *Settings) readTrace(sec *inifile.Section) {
+	s.Trace.Exporter = sec.Choice("exporter", "none", "none", "otlp", "file")
+	s.Trace.Address = sec.Text("address", "")
+	s.Trace.File = sec.Text("file", "")
+}
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,142 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"pollentack.example/pollentack/internal/inifile"
+	"pollentack.example/pollentack/internal/note"
+)
+
+// TargetConfig is one stand-in target of a fleet.
+type TargetConfig struct {
+	Name      string
+	Address   string
+	Behaviour Behaviour
+}
+
+// Config is a stand-in platform with its notes, and stand-in targets.
+type Config struct {
+	Seed     int
+	Platform string
+	// Notes are files of release notes, published in this order.
+	Notes   []string
+	Targets []TargetConfig
+}
+
+// LoadConfig reads and checks the INI file at path; note files are relative to it.
+func LoadConfig(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read stand-in settings: %w", err)
+	}
+	f := inifile.Parse(path, text)
+	c := &Config{}
+	for _, s := range f.Sections {
+		name, isTarget := strings.CutPrefix(s.Name, "target ")
+		switch {
+		case s.Name == "platform":
+			c.readPlatform(s, filepath.Dir(path))
+		case isTarget:
+			c.readTarget(s, strings.TrimSpace(name))
+		default:
+			f.Unknown(s, "platform, target NAME")
+			continue
+		}
+		s.RejectUnused()
+	}
+	return c, f.Err()
+}
+
+func (c *Config) readPlatform(s *inifile.Section, dir string) {
+	c.Platform = s.Required("address")
+	c.Seed = s.Int("seed", 1, 0, 1<<31-1)
+	for _, name := range s.List("notes") {
+		c.Notes = append(c.Notes, filepath.Join(dir, name))
+	}
+}
+
+const (
+	defaultLatency = 5 * time.Millisecond
+	maxLatency     = time.Minute
+)
+
+func (c *Config) readTarget(s *inifile.Section, name string) {
+	c.Targets = append(c.Targets, TargetConfig{
+		Name:    name,
+		Address: s.Required("address"),
+		Behaviour: Behaviour{
+			Latency:    s.Duration("latency", defaultLatency, 0, maxLatency),
+			Jitter:     s.Duration("jitter", 0, 0, maxLatency),
+			SlowShare:  s.Float("slow-share", 0, 0, 1),
+			SlowFactor: s.Float("slow-factor", 1, 1, 10_000),
+			Slots:      s.Int("slots", 2, 1, 10_000),
+			ColdBudget: s.Int("cold-budget", 1, 1, 10_000),
+			Cold:       s.Bool("cold", false),
+			Leaving:    s.Bool("leaving", false),
+		},
+	})
+}
+
+// Fleet is a running stand-in platform and its targets.
+type Fleet struct {
+	Platform *Platform
+	Targets  []*Target
+}
+
+// StartFleet starts the platform, publishes the notes and starts the targets.
+func StartFleet(c *Config) (*Fleet, error) {
+	p, err := StartPlatform(c.Platform)
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Platform: p}
+	if err := f.fill(c); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) fill(c *Config) error {
+	for _, path := range c.Notes {
+		if err := f.publishFile(path); err != nil {
+			return err
+		}
+	}
+	for _, tc := range c.Targets {
+		t, err := StartTarget(tc.Name, tc.Address, uint64(c.Seed), tc.Behaviour)
+		if err != nil {
+			return err
+		}
+		f.Targets = append(f.Targets, t)
+	}
+	return nil
+}
+
+// publishFile publishes a note as it is, bad ones too: refusing is the hosts' part.
+func (f *Fleet) publishFile(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read note: %w", err)
+	}
+	n, err := note.Parse(path, text)
+	var faults inifile.Faults
+	if err != nil && !errors.As(err, &faults) {
+		return err
+	}
+	f.Platform.Publish(n.Number, n.Baseline, text)
+	return nil
+}
+
+// Stop ends the targets and the platform.
+func (f *Fleet) Stop() {
+	for _, t := range f.Targets {
+		t.Stop()
+	}
+	f.Platform.Stop()
+}
