Add the demo, the testbed, open-loop load, experiments and traces

Cause: every part that follows has to be measured the same way, with its baseline in one run, and a newcomer needs one command that shows the main job. Change: internal/testbed runs stand-ins and hosts in one process through the code of serve; internal/load is an open loop with HDR histograms; internal/experiment is the registry; OpenTelemetry spans for the query and each attempt; note.Format. The engine's seam towards the mesh is set: PeerFacts, Isolation, Facts, Convictions.

--- /dev/null
+++ b/cmd/pollentack/demo.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/edge/callerclient"
+	"pollentack.example/pollentack/internal/edge/front"
+	"pollentack.example/pollentack/internal/edge/trace"
+	"pollentack.example/pollentack/internal/load"
+	"pollentack.example/pollentack/internal/standin"
+	"pollentack.example/pollentack/internal/testbed"
+)
+
+type demoCmd struct {
+	Hosts   int    `default:"3" help:"Entry hosts, 1 to 9."`
+	Queries int    `default:"200" help:"Queries to send."`
+	Seed    uint64 `default:"1" help:"Seed of the run."`
+	JSON    bool   `help:"Print the summary as one JSON object and nothing else."`
+	Hold    bool   `help:"Keep everything up and print the addresses, until SIGINT."`
+}
+
+const (
+	maxDemoHosts = 9
+	demoRate     = 100
+	demoService  = "licences"
+)
+
+// Run runs the main job in one process; exit code 1 means that a query was not answered.
+func (cmd *demoCmd) Run() error {
+	if cmd.Hosts < 1 || cmd.Hosts > maxDemoHosts {
+		return usage(fmt.Errorf("--hosts is %d; allowed are 1 to %d", cmd.Hosts, maxDemoHosts))
+	}
+	if cmd.Queries < 1 {
+		return usage(fmt.Errorf("--queries is %d; allowed are 1 and more", cmd.Queries))
+	}
+	spans := tracetest.NewInMemoryExporter()
+	bed, err := testbed.Start(demoLayout(cmd.Hosts, cmd.Seed), testbed.Options{Log: zerolog.Nop(), Tracer: trace.WithExporter(spans)})
+	if err != nil {
+		return err
+	}
+	defer bed.Stop()
+	if !cmd.JSON {
+		if err := showOne(bed, spans); err != nil {
+			return err
+		}
+	}
+	report, err := load.Run(&load.Config{
+		Fronts:  bed.Fronts(),
+		Mix:     []load.Share{{Service: demoService, Keys: []string{testbed.Key(0), testbed.Key(1)}, Weight: 1}},
+		Rate:    demoRate,
+		Queries: cmd.Queries,
+		Seed:    cmd.Seed,
+		Limit:   10,
+	})
+	if err != nil {
+		return err
+	}
+	if err := printReport(report, cmd.JSON); err != nil {
+		return err
+	}
+	if cmd.Hold {
+		hold(bed)
+	}
+	if report.Answered != report.Queries {
+		return errFailed
+	}
+	return nil
+}
+
+func demoLayout(hosts int, seed uint64) testbed.Layout {
+	return testbed.Layout{
+		Seed:  seed,
+		Zones: testbed.ThreeZones(),
+		Hosts: hosts,
+		Services: []testbed.ServiceLayout{{
+			Name:        demoService,
+			Shards:      8,
+			Replicas:    3,
+			Connections: 25,
+			Policy:      release.Policy{Deadline: time.Second, MinCoverage: 1, HedgeBudget: 0.05, Criticality: release.Critical},
+			Behaviour: standin.Behaviour{
+				Latency:    4 * time.Millisecond,
+				Jitter:     2 * time.Millisecond,
+				SlowShare:  0.005,
+				SlowFactor: 10,
+				Slots:      2,
+				ColdBudget: 1,
+			},
+		}},
+		Callers:    10,
+		CallerRate: 1000,
+	}
+}
+
+// showOne sends one query and prints the answer whole, with its spans.
+func showOne(bed *testbed.Testbed, spans *tracetest.InMemoryExporter) error {
+	client, err := callerclient.New()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	address := bed.Fronts()[0]
+	spans.Reset()
+	answer, _, err := client.Query(address, testbed.Key(0), demoService, &front.QueryBody{Query: "DK 4821", Limit: 5})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("query \"DK 4821\" to service %s through %s\n", demoService, address)
+	printAnswer(os.Stdout, answer)
+	fmt.Println("\nspans")
+	printSpans(os.Stdout, spans.GetSpans())
+	fmt.Println()
+	return nil
+}
+
+func printReport(r *load.Report, asJSON bool) error {
+	if asJSON {
+		if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
+			return fmt.Errorf("print summary: %w", err)
+		}
+		return nil
+	}
+	fmt.Printf("queries     %d, answered %d, failed %d\n", r.Queries, r.Answered, r.Failed)
+	fmt.Printf("latency     p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms\n", r.P50MS, r.P99MS, r.P999MS)
+	fmt.Printf("coverage    %.4f\n", r.CoverageMean)
+	fmt.Printf("extra load  %.4f\n", r.ExtraLoad)
+	fmt.Printf("refusals    %v\n", r.Refusals)
+	return nil
+}
+
+func hold(bed *testbed.Testbed) {
+	for _, n := range bed.Nodes {
+		fmt.Printf("front http://%s  operators http://%s\n", n.FrontAddress(), n.AdminAddress())
+	}
+	fmt.Printf("curl -H 'Authorization: Bearer %s' -d '{\"query\":\"DK 4821\"}' http://%s/v1/services/%s/query\n",
+		testbed.Key(0), bed.Fronts()[0], demoService)
+	<-stopSignals()
+}
--- a/cmd/pollentack/main.go
+++ b/cmd/pollentack/main.go
@@ -22,13 +22,15 @@
 var errFailed = errors.New("failed")
 
 type cli struct {
-	Serve    serveCmd    `cmd:"" help:"Run one entry host."`
-	Standin  standinCmd  `cmd:"" help:"Run a stand-in platform and stand-in targets."`
-	Query    queryCmd    `cmd:"" help:"Send one query to a host and print the answer."`
-	Status   statusCmd   `cmd:"" help:"Show what hosts have in force and what differs between them."`
-	Settings settingsCmd `cmd:"" help:"Work with settings files."`
-	Note     noteCmd     `cmd:"" help:"Work with release notes, offline."`
-	Version  versionCmd  `cmd:"" help:"Print the version."`
+	Demo       demoCmd       `cmd:"" help:"Run a platform, targets and hosts in one process and query them."`
+	Serve      serveCmd      `cmd:"" help:"Run one entry host."`
+	Standin    standinCmd    `cmd:"" help:"Run a stand-in platform and stand-in targets."`
+	Query      queryCmd      `cmd:"" help:"Send one query to a host and print the answer."`
+	Status     statusCmd     `cmd:"" help:"Show what hosts have in force and what differs between them."`
+	Settings   settingsCmd   `cmd:"" help:"Work with settings files."`
+	Note       noteCmd       `cmd:"" help:"Work with release notes, offline."`
+	Experiment experimentCmd `cmd:"" help:"Run a measurement with its baseline and its bound."`
+	Version    versionCmd    `cmd:"" help:"Print the version."`
 }
 
 func main() {
--- a/cmd/pollentack/query.go
+++ b/cmd/pollentack/query.go
@@ -1,20 +1,16 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"time"
 
 	"pollentack.example/pollentack/internal/core/result"
+	"pollentack.example/pollentack/internal/edge/callerclient"
 	"pollentack.example/pollentack/internal/edge/front"
 )
 
-const httpTimeout = time.Minute
-
 type queryCmd struct {
 	Front   string        `required:"" help:"Address of a host's front, HOST:PORT."`
 	Key     string        `required:"" help:"The caller's key." env:"POLLENTACK_KEY"`
@@ -28,7 +24,12 @@
 // Run sends the query; exit code 1 means that it was refused.
 func (cmd *queryCmd) Run() error {
 	body := front.QueryBody{Query: cmd.Query, Limit: cmd.Limit, TimeoutMS: cmd.Timeout.Milliseconds()}
-	answer, raw, err := postQuery(cmd.Front, cmd.Key, cmd.Service, &body)
+	client, err := callerclient.New()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	answer, raw, err := client.Query(cmd.Front, cmd.Key, cmd.Service, &body)
 	if err != nil {
 		return err
 	}
@@ -43,43 +44,6 @@
 	return nil
 }
 
-func postQuery(address, key, service string, body *front.QueryBody) (*front.AnswerBody, []byte, error) {
-	text, err := json.Marshal(body)
-	if err != nil {
-		return nil, nil, fmt.Errorf("encode query: %w", err)
-	}
-	url := fmt.Sprintf("http://%s/v1/services/%s/query", address, service)
-	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(text))
-	if err != nil {
-		return nil, nil, fmt.Errorf("query %s: %w", address, err)
-	}
-	req.Header.Set("Authorization", "Bearer "+key)
-	req.Header.Set("Content-Type", "application/json")
-	raw, err := do(req)
-	if err != nil {
-		return nil, nil, err
-	}
-	answer := &front.AnswerBody{}
-	if err := json.Unmarshal(raw, answer); err != nil {
-		return nil, nil, fmt.Errorf("decode answer of %s: %w", address, err)
-	}
-	return answer, raw, nil
-}
-
-func do(req *http.Request) ([]byte, error) {
-	client := http.Client{Timeout: httpTimeout}
-	resp, err := client.Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("%s %s: %w", req.Method, req.URL, err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return nil, fmt.Errorf("read answer of %s: %w", req.URL, err)
-	}
-	return raw, nil
-}
-
 func printAnswer(w io.Writer, a *front.AnswerBody) {
 	fmt.Fprintf(w, "result    %s %s\n", a.Code, a.Detail)
 	fmt.Fprintf(w, "snapshot  version %d, layout %s\n", a.Version, a.Layout)
--- a/cmd/pollentack/serve.go
+++ b/cmd/pollentack/serve.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"errors"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/rs/zerolog"
 
+	"pollentack.example/pollentack/internal/edge/trace"
 	"pollentack.example/pollentack/internal/node"
 	"pollentack.example/pollentack/internal/settings"
 	"pollentack.example/pollentack/internal/standin"
@@ -24,7 +26,11 @@
 		return usage(err)
 	}
 	log := newLogger(s)
-	n, err := node.Start(s, log)
+	tracer, err := trace.New(&s.Trace)
+	if err != nil {
+		return err
+	}
+	n, err := node.Start(s, node.Options{Log: log, Tracer: tracer})
 	if err != nil {
 		return err
 	}
@@ -35,7 +41,7 @@
 	case err = <-n.Failed():
 	}
 	n.Stop()
-	return err
+	return errors.Join(err, tracer.Close())
 }
 
 func newLogger(s *settings.Settings) zerolog.Logger {
--- a/cmd/pollentack/status.go
+++ b/cmd/pollentack/status.go
@@ -3,10 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 
 	"pollentack.example/pollentack/internal/edge/admin"
+	"pollentack.example/pollentack/internal/edge/callerclient"
 	"pollentack.example/pollentack/internal/node"
 )
 
@@ -17,11 +17,16 @@
 
 // Run asks each host; exit code 1 means that one did not answer or that hosts differ.
 func (cmd *statusCmd) Run() error {
+	client, err := callerclient.New()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
 	statuses := make([]node.Status, 0, len(cmd.Admin))
 	failed := false
 	for _, address := range cmd.Admin {
-		s, err := fetchStatus(address)
-		if err != nil {
+		var s node.Status
+		if err := client.Get(address, admin.PathStatus, &s); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			failed = true
 			continue
@@ -41,22 +46,6 @@
 	return nil
 }
 
-func fetchStatus(address string) (node.Status, error) {
-	var s node.Status
-	req, err := http.NewRequest(http.MethodGet, "http://"+address+admin.PathStatus, http.NoBody)
-	if err != nil {
-		return s, fmt.Errorf("status of %s: %w", address, err)
-	}
-	raw, err := do(req)
-	if err != nil {
-		return s, err
-	}
-	if err := json.Unmarshal(raw, &s); err != nil {
-		return s, fmt.Errorf("decode status of %s: %w", address, err)
-	}
-	return s, nil
-}
-
 func differ(statuses []node.Status) bool {
 	for i := 1; i < len(statuses); i++ {
 		if statuses[i].Note != statuses[0].Note {
--- a/internal/core/engine/admit.go
+++ b/internal/core/engine/admit.go
@@ -32,6 +32,9 @@
 	if e.draining {
 		return nil, &result.Error{Code: result.Draining, Detail: "host is stopping"}
 	}
+	if e.isolated {
+		return nil, &result.Error{Code: result.Isolated, Detail: "neither the platform nor a peer is reached"}
+	}
 	caller := e.state.CallerByKeyHash(req.KeyHash)
 	if caller == nil {
 		return nil, &result.Error{Code: result.CallerUnknown, Detail: "no caller has this key"}
--- a/internal/core/engine/effect.go
+++ b/internal/core/engine/effect.go
@@ -46,6 +46,9 @@
 	Sends   []Send
 	Cancels []Cancel
 	Answers []Answer
+	// Facts and Convictions are new first-hand knowledge for the peers.
+	Facts       []TargetFact
+	Convictions []Conviction
 }
 
 // Reset empties the effects and keeps their memory.
@@ -53,7 +56,11 @@
 	clear(fx.Sends)
 	clear(fx.Cancels)
 	clear(fx.Answers)
+	clear(fx.Facts)
+	clear(fx.Convictions)
 	fx.Sends = fx.Sends[:0]
 	fx.Cancels = fx.Cancels[:0]
 	fx.Answers = fx.Answers[:0]
+	fx.Facts = fx.Facts[:0]
+	fx.Convictions = fx.Convictions[:0]
 }
--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -55,6 +55,7 @@
 	timers   timerHeap
 	nextID   query.ID
 	draining bool
+	isolated bool
 	counters Counters
 }
 
@@ -91,6 +92,10 @@
 		e.health(ev)
 	case *Drain:
 		e.draining = true
+	case *PeerFacts:
+		e.peerFacts(ev)
+	case *Isolation:
+		e.isolated = ev.Isolated
 	}
 }
 
@@ -158,6 +163,18 @@
 	entry.Leaving = entry.Leaving || h.Leaving
 }
 
+// peerFacts takes hearsay of targets: only a newer incarnation or a departure counts.
+func (e *Engine) peerFacts(ev *PeerFacts) {
+	for _, fact := range ev.Targets {
+		id := e.targets.Lookup(fact.Target)
+		if id == target.None {
+			continue
+		}
+		entry := e.targets.Entry(id)
+		entry.Leaving = entry.Leaving || fact.Leaving
+	}
+}
+
 func (e *Engine) refuse(key uint64, code result.Code, detail string, fx *Effects) {
 	e.counters.Refusals++
 	fx.Answers = append(fx.Answers, Answer{Key: key, Code: code, Detail: detail})
--- a/internal/core/engine/event.go
+++ b/internal/core/engine/event.go
@@ -23,6 +23,33 @@
 // Drain begins the graceful shutdown: no new work from now on.
 type Drain struct{}
 
+// TargetFact is what one host knows first hand of a target. Facts only grow: of two,
+// the higher incarnation wins, and within one incarnation leaving and the higher warmth
+// level win.
+type TargetFact struct {
+	Target      string
+	Incarnation uint64
+	Cold        bool
+	// Level is the number of clean warm-up windows so far.
+	Level   int32
+	Leaving bool
+}
+
+// Conviction bars a request fingerprint until a wall-clock time; the latest expiry wins.
+type Conviction struct {
+	Fingerprint uint64
+	Until       time.Duration
+}
+
+// PeerFacts is what peers know; first-hand outcomes outrank it.
+type PeerFacts struct {
+	Targets     []TargetFact
+	Convictions []Conviction
+}
+
+// Isolation tells whether this host reaches neither the platform nor a peer.
+type Isolation struct{ Isolated bool }
+
 // Outcome is how one attempt ended.
 type Outcome int
 
@@ -38,6 +65,11 @@
 	Cancelled
 )
 
+var outcomeNames = [...]string{"", "answered", "shed", "unreachable", "snapshot_gone", "cold_refused", "lost", "cancelled"}
+
+// String returns the outcome's name in logs and traces.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // NotRun reports whether the target is known not to have run the attempt.
 func (o Outcome) NotRun() bool {
 	return o == Shed || o == Unreachable || o == SnapshotGone || o == ColdRefused
@@ -74,3 +106,5 @@
 func (*Drain) event()      {}
 func (*Reply) event()      {}
 func (*Health) event()     {}
+func (*PeerFacts) event()  {}
+func (*Isolation) event()  {}
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -14,11 +14,13 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"go.opentelemetry.io/otel/attribute"
 
 	"pollentack.example/pollentack/internal/core/engine"
 	"pollentack.example/pollentack/internal/core/query"
 	"pollentack.example/pollentack/internal/core/result"
 	"pollentack.example/pollentack/internal/edge/httpd"
+	"pollentack.example/pollentack/internal/edge/trace"
 )
 
 // QueryBody is the JSON body of a query.
@@ -51,6 +53,7 @@
 // Front is the listener for callers.
 type Front struct {
 	submit  func(*engine.Submit) bool
+	tracer  *trace.Tracer
 	next    atomic.Uint64
 	refused atomic.Bool
 
@@ -61,8 +64,8 @@
 }
 
 // Start listens on address. submit hands a request over and reports whether it was taken.
-func Start(address string, limits httpd.Limits, submit func(*engine.Submit) bool) (*Front, error) {
-	f := &Front{submit: submit, waiting: map[uint64]chan engine.Answer{}}
+func Start(address string, limits httpd.Limits, tracer *trace.Tracer, submit func(*engine.Submit) bool) (*Front, error) {
+	f := &Front{submit: submit, tracer: tracer, waiting: map[uint64]chan engine.Answer{}}
 	s, err := httpd.Start(address, limits, f.routes)
 	if err != nil {
 		return nil, err
@@ -117,14 +120,20 @@
 	if body.Limit == 0 {
 		body.Limit = defaultLimit
 	}
+	span := f.tracer.Start(string(c.GetHeader(trace.Header)), "query", attribute.String("service", c.Param("service")))
 	answer := f.await(&query.Request{
 		KeyHash:     sha256.Sum256([]byte(bearer(c))),
 		Service:     c.Param("service"),
 		Body:        []byte(body.Query),
 		Limit:       body.Limit,
 		Timeout:     time.Duration(body.TimeoutMS) * time.Millisecond,
-		TraceParent: string(c.GetHeader("traceparent")),
+		TraceParent: span.Context(),
 	})
+	span.End(
+		attribute.Int("code", int(answer.Code)),
+		attribute.Float64("coverage", answer.Coverage),
+		attribute.Int("attempts", answer.Attempts),
+	)
 	write(c, &answer)
 }
 
--- a/internal/edge/targetclient/client.go
+++ b/internal/edge/targetclient/client.go
@@ -13,10 +13,12 @@
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"go.opentelemetry.io/otel/attribute"
 
 	"pollentack.example/pollentack/internal/core/engine"
 	"pollentack.example/pollentack/internal/core/query"
 	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/edge/trace"
 	"pollentack.example/pollentack/internal/edge/wallclock"
 	"pollentack.example/pollentack/internal/targetapi"
 )
@@ -33,13 +35,14 @@
 
 // Client makes the calls. Its methods block and are run by workers.
 type Client struct {
-	host  string
-	clock wallclock.Clock
-	http  *client.Client
+	host   string
+	clock  wallclock.Clock
+	tracer *trace.Tracer
+	http   *client.Client
 }
 
 // New returns a client that names host in its attempts.
-func New(host string, clk wallclock.Clock) (*Client, error) {
+func New(host string, clk wallclock.Clock, tracer *trace.Tracer) (*Client, error) {
 	c, err := client.NewClient(
 		client.WithDialer(standard.NewDialer()),
 		client.WithDialTimeout(dialTimeout),
@@ -49,7 +52,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("target client: %w", err)
 	}
-	return &Client{host: host, clock: clk, http: c}, nil
+	return &Client{host: host, clock: clk, tracer: tracer, http: c}, nil
 }
 
 // Close drops idle connections.
@@ -67,14 +70,20 @@
 	if err != nil {
 		return reply
 	}
+	span := c.tracer.Start(s.Request.TraceParent, "attempt",
+		attribute.String("target", s.Spec.Name),
+		attribute.Int("shard", int(s.Attempt.Shard)),
+		attribute.Int("try", int(s.Attempt.Try)))
+	call := call{address: s.Spec.Address, path: targetapi.PathSearch, body: body, timeout: left + replyGrace, traceParent: span.Context()}
 	var answer targetapi.SearchReply
-	err = c.post(s.Spec.Address, targetapi.PathSearch, body, left+replyGrace, &answer)
+	err = c.post(&call, &answer)
 	reply.Elapsed = c.clock.Now().Mono - begin
 	if err != nil {
 		reply.Outcome = outcomeOfError(err)
-		return reply
+	} else {
+		fill(reply, &answer)
 	}
-	fill(reply, &answer)
+	span.End(attribute.String("outcome", reply.Outcome.String()))
 	return reply
 }
 
@@ -84,7 +93,7 @@
 	if err != nil {
 		return
 	}
-	_ = c.post(x.Spec.Address, targetapi.PathCancel, body, cancelTimeout, nil)
+	_ = c.post(&call{address: x.Spec.Address, path: targetapi.PathCancel, body: body, timeout: cancelTimeout}, nil)
 }
 
 func (c *Client) ref(id query.AttemptID) targetapi.AttemptRef {
@@ -104,21 +113,33 @@
 	}
 }
 
-func (c *Client) post(address, path string, body []byte, timeout time.Duration, into any) error {
+// call is one HTTP call to a target.
+type call struct {
+	address     string
+	path        string
+	body        []byte
+	timeout     time.Duration
+	traceParent string
+}
+
+func (c *Client) post(x *call, into any) error {
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
 	req.SetMethod("POST")
-	req.SetRequestURI("http://" + address + path)
-	req.SetBody(body)
-	if err := c.http.DoTimeout(context.Background(), req, resp, timeout); err != nil {
-		return fmt.Errorf("post %s%s: %w", address, path, err)
+	req.SetRequestURI("http://" + x.address + x.path)
+	req.SetBody(x.body)
+	if x.traceParent != "" {
+		req.Header.Set(trace.Header, x.traceParent)
+	}
+	if err := c.http.DoTimeout(context.Background(), req, resp, x.timeout); err != nil {
+		return fmt.Errorf("post %s%s: %w", x.address, x.path, err)
 	}
 	if into == nil {
 		return nil
 	}
 	if err := json.Unmarshal(resp.Body(), into); err != nil {
-		return fmt.Errorf("decode reply of %s: %w", address, err)
+		return fmt.Errorf("decode reply of %s: %w", x.address, err)
 	}
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"pollentack.example/pollentack/internal/edge/httpd"
 	"pollentack.example/pollentack/internal/edge/platform"
 	"pollentack.example/pollentack/internal/edge/targetclient"
+	"pollentack.example/pollentack/internal/edge/trace"
 	"pollentack.example/pollentack/internal/edge/wallclock"
 	"pollentack.example/pollentack/internal/settings"
 )
@@ -32,6 +33,7 @@
 type Node struct {
 	settings *settings.Settings
 	log      zerolog.Logger
+	tracer   *trace.Tracer
 	clock    wallclock.Clock
 
 	duties   *duty.Group
@@ -46,15 +48,21 @@
 	failed   chan error
 }
 
+// Options are what the process gives its host beside the settings.
+type Options struct {
+	Log    zerolog.Logger
+	Tracer *trace.Tracer
+}
+
 // Start runs a host until Stop. Listeners open last, so that no request meets a host
 // whose duties do not run yet.
-func Start(s *settings.Settings, log zerolog.Logger) (*Node, error) {
-	n := &Node{settings: s, log: log, clock: wallclock.New(), failed: make(chan error, maxDuties)}
+func Start(s *settings.Settings, o Options) (*Node, error) {
+	n := &Node{settings: s, log: o.Log, tracer: o.Tracer, clock: wallclock.New(), failed: make(chan error, maxDuties)}
 	if err := n.start(); err != nil {
 		n.Stop()
 		return nil, fmt.Errorf("start host %q: %w", s.Host.Name, err)
 	}
-	log.Info().Str("event", "host_started").Str("front", n.FrontAddress()).Str("admin", n.AdminAddress()).Send()
+	n.log.Info().Str("event", "host_started").Str("front", n.FrontAddress()).Str("admin", n.AdminAddress()).Send()
 	return n, nil
 }
 
@@ -73,7 +81,7 @@
 }
 
 func (n *Node) startQueries() error {
-	client, err := targetclient.New(n.settings.Host.Name, n.clock)
+	client, err := targetclient.New(n.settings.Host.Name, n.clock, n.tracer)
 	if err != nil {
 		return err
 	}
@@ -105,12 +113,12 @@
 func (n *Node) listen() error {
 	var err error
 	limits := httpd.Limits{BodyBytes: n.settings.Limits.BodyBytes}
-	n.front, err = front.Start(n.settings.Listen.Front, limits, func(s *engine.Submit) bool { return n.queries.submit(s) })
+	n.front, err = front.Start(n.settings.Listen.Front, limits, n.tracer, func(s *engine.Submit) bool { return n.queries.submit(s) })
 	if err != nil {
 		return err
 	}
 	n.queries.setDeliver(n.front.Deliver)
-	n.admin, err = admin.Start(n.settings.Listen.Admin, httpd.Limits{BodyBytes: adminBodyBytes}, n.Status)
+	n.admin, err = admin.Start(n.settings.Listen.Admin, httpd.Limits{BodyBytes: adminBodyBytes}, func() any { return n.Status() })
 	return err
 }
 
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -20,9 +20,7 @@
 }
 
 // Status returns the host's status at this moment.
-func (n *Node) Status() any { return n.status() }
-
-func (n *Node) status() Status {
+func (n *Node) Status() Status {
 	q := n.queries.counted.Load()
 	c := n.control.status.Load()
 	return Status{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,6 +66,12 @@
 
 const knownSections = "host, listen, platform, limits, policy, log, trace"
 
+// Default returns the settings of an empty file; name and addresses are missing.
+func Default() *Settings {
+	s, _ := Parse("default", nil)
+	return s
+}
+
 // Load reads and checks the file at path. The error lists every fault.
 func Load(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
--- /dev/null
+++ b/internal/testbed/testbed.go
@@ -0,0 +1,219 @@
+package testbed
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/edge/trace"
+	"pollentack.example/pollentack/internal/node"
+	"pollentack.example/pollentack/internal/note"
+	"pollentack.example/pollentack/internal/settings"
+	"pollentack.example/pollentack/internal/standin"
+)
+
+// loopback takes a free port.
+const loopback = "127.0.0.1:0"
+
+// Options are what a run adds to its layout.
+type Options struct {
+	Log    zerolog.Logger
+	Tracer *trace.Tracer
+	// Adjust changes the settings of host i before it starts; nil leaves them.
+	Adjust func(i int, s *settings.Settings)
+}
+
+// Testbed is a running platform with targets and hosts.
+type Testbed struct {
+	Layout   Layout
+	Platform *standin.Platform
+	Targets  map[string]*standin.Target
+	Nodes    []*node.Node
+
+	options Options
+	hosts   []release.Host
+	number  uint64
+}
+
+// Start runs the layout and waits until the first note is in force on every host.
+func Start(layout Layout, options Options) (*Testbed, error) {
+	if options.Tracer == nil {
+		options.Tracer = trace.Off()
+	}
+	t := &Testbed{Layout: layout, Targets: map[string]*standin.Target{}, options: options}
+	if err := t.start(); err != nil {
+		t.Stop()
+		return nil, fmt.Errorf("start testbed: %w", err)
+	}
+	return t, nil
+}
+
+func (t *Testbed) start() error {
+	platform, err := standin.StartPlatform(loopback)
+	if err != nil {
+		return err
+	}
+	t.Platform = platform
+	if err := t.startTargets(); err != nil {
+		return err
+	}
+	if err := t.assignHosts(); err != nil {
+		return err
+	}
+	t.Publish(t.baseline())
+	for i := range t.hosts {
+		n, err := t.StartNode(i)
+		if err != nil {
+			return err
+		}
+		t.Nodes = append(t.Nodes, n)
+	}
+	return t.AwaitNote(t.number)
+}
+
+func (t *Testbed) startTargets() error {
+	for i := range t.Layout.Services {
+		s := &t.Layout.Services[i]
+		for _, shard := range s.targetNames() {
+			for _, name := range shard {
+				if t.Targets[name] != nil {
+					continue
+				}
+				target, err := standin.StartTarget(name, loopback, t.Layout.Seed, s.Behaviour)
+				if err != nil {
+					return err
+				}
+				t.Targets[name] = target
+			}
+		}
+	}
+	return nil
+}
+
+// assignHosts gives each host a mesh address, which the note must name before they start.
+func (t *Testbed) assignHosts() error {
+	for i := range t.Layout.Hosts {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		zone := t.Layout.Zones[i%len(t.Layout.Zones)]
+		t.hosts = append(t.hosts, release.Host{Name: fmt.Sprintf("host-%d", i+1), Zone: zone.Name, Mesh: address})
+	}
+	return nil
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", fmt.Errorf("find a free port: %w", err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+func (t *Testbed) baseline() *release.Note {
+	n := &release.Note{Number: 1, Baseline: true}
+	for i := range t.Layout.Zones {
+		n.Items = append(n.Items, release.Item{Op: release.Add, Zone: &t.Layout.Zones[i]})
+	}
+	for i := range t.hosts {
+		n.Items = append(n.Items, release.Item{Op: release.Add, Host: &t.hosts[i]})
+	}
+	addresses := map[string]string{}
+	for name, target := range t.Targets {
+		addresses[name] = target.Address()
+	}
+	for i := range t.Layout.Services {
+		n.Items = append(n.Items, t.Layout.Services[i].items(t.Layout.Zones, addresses)...)
+	}
+	n.Items = append(n.Items, t.Layout.callerItems()...)
+	return n
+}
+
+// Publish puts a note on the platform.
+func (t *Testbed) Publish(n *release.Note) {
+	t.number = max(t.number, n.Number)
+	t.Platform.Publish(n.Number, n.Baseline, note.Format(n))
+}
+
+// Change publishes a note that follows the last with these items, and returns its number.
+func (t *Testbed) Change(items ...release.Item) uint64 {
+	t.Publish(&release.Note{Number: t.number + 1, Follows: t.number, Items: items})
+	return t.number
+}
+
+// StartNode starts host i; the caller owns a node that was not started by Start.
+func (t *Testbed) StartNode(i int) (*node.Node, error) {
+	s := settings.Default()
+	s.Host.Name = t.hosts[i].Name
+	s.Host.Zone = t.hosts[i].Zone
+	s.Listen.Front = loopback
+	s.Listen.Admin = loopback
+	s.Listen.Mesh = t.hosts[i].Mesh
+	s.Platform.Address = t.Platform.Address()
+	s.Platform.Poll = time.Second
+	s.Policy.Seed = int(t.Layout.Seed) + i
+	if t.options.Adjust != nil {
+		t.options.Adjust(i, s)
+	}
+	log := t.options.Log.With().Str("host", s.Host.Name).Str("availability_zone", s.Host.Zone).Logger()
+	return node.Start(s, node.Options{Log: log, Tracer: t.options.Tracer})
+}
+
+const (
+	awaitLimit = 10 * time.Second
+	awaitPause = 5 * time.Millisecond
+)
+
+// AwaitNote waits until note number is in force on every host.
+func (t *Testbed) AwaitNote(number uint64) error {
+	return Await(fmt.Sprintf("note %d in force on %d hosts", number, len(t.Nodes)), func() bool {
+		for _, n := range t.Nodes {
+			if n.Status().Note < number {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Await waits until condition holds, for a bounded time.
+func Await(what string, condition func() bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), awaitLimit)
+	defer cancel()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("waited %s in vain for %s", awaitLimit, what)
+		case <-time.After(awaitPause):
+		}
+	}
+	return nil
+}
+
+// Fronts returns the hosts' addresses for callers.
+func (t *Testbed) Fronts() []string {
+	fronts := make([]string, len(t.Nodes))
+	for i, n := range t.Nodes {
+		fronts[i] = n.FrontAddress()
+	}
+	return fronts
+}
+
+// Stop ends the hosts gracefully, then the targets and the platform.
+func (t *Testbed) Stop() {
+	for _, n := range t.Nodes {
+		n.Stop()
+	}
+	for _, target := range t.Targets {
+		target.Stop()
+	}
+	if t.Platform != nil {
+		t.Platform.Stop()
+	}
+}
