Add the mesh link: hello, heartbeats and calls over yamux with protobuf

Hosts had no way to reach each other. The link carries a heartbeat stream and one stream for each call; Call tells a request that was never sent from one whose outcome is unknown, because only the first may be run elsewhere. A hello with another version, an unknown name, a wrong zone or an older incarnation is refused and counted, as are oversized and malformed frames. Mutual TLS is required off loopback; certificates are read again on change and an unusable one leaves the last good one in place.

Settings gain [mesh] certificate, key, authority and seeds.

--- /dev/null
+++ b/internal/edge/mesh/call.go
@@ -0,0 +1,138 @@
+package mesh
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/wire"
+)
+
+// Errors of Call. ErrNotSent means that the handler has not run and never will;
+// ErrUnknown means that it may have run.
+var (
+	ErrNotSent = errors.New("call was not sent")
+	ErrUnknown = errors.New("call was sent and its outcome is unknown")
+)
+
+const (
+	// requestTimeout bounds how long the serving side waits for a request on a new stream.
+	requestTimeout = 5 * time.Second
+	// refusalTimeout bounds the write of a refusal, which holds up the next stream.
+	refusalTimeout = 100 * time.Millisecond
+)
+
+// Call asks a peer's handler and waits for at most timeout. The error is ErrNotSent or
+// ErrUnknown.
+func (m *Mesh) Call(host string, kind wire.CallKind, payload []byte, timeout time.Duration) ([]byte, error) {
+	deadline := time.Now().Add(timeout)
+	m.counters.callsMade.Add(1)
+	l, err := m.linkOnDemand(host)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	l.touch()
+	defer l.touch()
+	stream, err := l.session.OpenStream()
+	if err != nil {
+		return nil, fmt.Errorf("%w: open stream to %q: %w", ErrNotSent, host, err)
+	}
+	defer func() { _ = stream.Close() }()
+	if err := stream.SetDeadline(deadline); err != nil {
+		return nil, fmt.Errorf("%w: set deadline: %w", ErrNotSent, err)
+	}
+	return m.roundTrip(stream, &wire.Request{Kind: kind, Payload: payload})
+}
+
+func (m *Mesh) roundTrip(stream *yamux.Stream, req *wire.Request) ([]byte, error) {
+	err := m.write(stream, req, wire.MaxCallBytes)
+	if errors.Is(err, wire.ErrOversized) {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	resp := &wire.Response{}
+	if err := m.read(stream, resp, wire.MaxCallBytes); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	if resp.GetStatus() != wire.Status_STATUS_OK {
+		return nil, fmt.Errorf("%w: peer says %s", ErrNotSent, resp.GetStatus())
+	}
+	return resp.GetPayload(), nil
+}
+
+// linkOnDemand returns the link to a published host, dialing it where none stands.
+func (m *Mesh) linkOnDemand(name string) (*link, error) {
+	m.mu.Lock()
+	l := m.links[name]
+	host, ok := m.published[name]
+	ok = ok && name != m.options.Host
+	busy := m.dialing[name]
+	if l == nil && ok && !busy {
+		m.dialing[name] = true
+	}
+	m.mu.Unlock()
+	switch {
+	case l != nil:
+		return l, nil
+	case !ok:
+		return nil, fmt.Errorf("host %q is not published", name)
+	case busy:
+		return nil, fmt.Errorf("host %q is being dialed", name)
+	}
+	return m.dialOnDemand(host)
+}
+
+func (m *Mesh) dialOnDemand(host release.Host) (*link, error) {
+	defer m.dialed(host.Name)
+	l, err := m.connect(host)
+	if err != nil {
+		return nil, err
+	}
+	if err := m.workers.Submit(l.serve); err != nil {
+		l.close()
+		m.unregister(l)
+		return nil, err
+	}
+	return l, nil
+}
+
+// serveCall reads one request, runs its handler and sends the response.
+func (l *link) serveCall(stream *yamux.Stream) {
+	defer func() { _ = stream.Close() }()
+	l.touch()
+	defer l.touch()
+	if err := stream.SetReadDeadline(time.Now().Add(requestTimeout)); err != nil {
+		return
+	}
+	req := &wire.Request{}
+	if err := l.mesh.read(stream, req, wire.MaxCallBytes); err != nil {
+		return
+	}
+	l.mesh.counters.callsServed.Add(1)
+	resp := &wire.Response{Status: wire.Status_STATUS_UNKNOWN_KIND}
+	if h := l.mesh.handler(req.GetKind()); h != nil {
+		resp.Payload = h(l.peer, req.GetPayload())
+		resp.Status = wire.Status_STATUS_OK
+	}
+	_ = l.mesh.write(stream, resp, wire.MaxCallBytes)
+}
+
+// refuseCall tells the caller that its request will not be read.
+func (l *link) refuseCall(stream *yamux.Stream) {
+	l.mesh.counters.callsRefused.Add(1)
+	if stream.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
+		_ = l.mesh.write(stream, &wire.Response{Status: wire.Status_STATUS_BUSY}, wire.MaxCallBytes)
+	}
+	_ = stream.Close()
+}
+
+func (m *Mesh) handler(kind wire.CallKind) Handler {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.handlers[kind]
+}
--- /dev/null
+++ b/internal/edge/mesh/counters.go
@@ -0,0 +1,75 @@
+package mesh
+
+import (
+	"strings"
+	"sync/atomic"
+
+	"pollentack.example/pollentack/internal/wire"
+)
+
+// Stats are the totals of a mesh since its start.
+type Stats struct {
+	Peers           []string          `json:"peers"`
+	LinksMade       uint64            `json:"links_made"`
+	DialsFailed     uint64            `json:"dials_failed"`
+	HeartbeatsSent  uint64            `json:"heartbeats_sent"`
+	HeartbeatsHeard uint64            `json:"heartbeats_heard"`
+	HeartbeatsLost  uint64            `json:"heartbeats_dropped"`
+	BytesSent       uint64            `json:"bytes_sent"`
+	BytesRead       uint64            `json:"bytes_read"`
+	CallsMade       uint64            `json:"calls_made"`
+	CallsServed     uint64            `json:"calls_served"`
+	CallsRefused    uint64            `json:"calls_refused"`
+	FramesOversized uint64            `json:"frames_oversized"`
+	FramesMalformed uint64            `json:"frames_malformed"`
+	Refused         map[string]uint64 `json:"refused,omitempty"`
+}
+
+// refusals is the number of reasons to refuse a link.
+const refusals = int(wire.Refusal_REFUSAL_TOO_MANY) + 1
+
+type counters struct {
+	linksMade, dialsFailed              atomic.Uint64
+	beatsSent, beatsHeard, beatsDropped atomic.Uint64
+	bytesSent, bytesRead                atomic.Uint64
+	callsMade, callsServed              atomic.Uint64
+	callsRefused                        atomic.Uint64
+	framesOversized, framesMalformed    atomic.Uint64
+
+	refused [refusals]atomic.Uint64
+}
+
+func (c *counters) refuse(reason wire.Refusal) { c.refused[reason].Add(1) }
+
+// Stats returns the totals at this moment.
+func (m *Mesh) Stats() Stats {
+	c := &m.counters
+	s := Stats{
+		Peers:           m.Peers(),
+		LinksMade:       c.linksMade.Load(),
+		DialsFailed:     c.dialsFailed.Load(),
+		HeartbeatsSent:  c.beatsSent.Load(),
+		HeartbeatsHeard: c.beatsHeard.Load(),
+		HeartbeatsLost:  c.beatsDropped.Load(),
+		BytesSent:       c.bytesSent.Load(),
+		BytesRead:       c.bytesRead.Load(),
+		CallsMade:       c.callsMade.Load(),
+		CallsServed:     c.callsServed.Load(),
+		CallsRefused:    c.callsRefused.Load(),
+		FramesOversized: c.framesOversized.Load(),
+		FramesMalformed: c.framesMalformed.Load(),
+	}
+	for reason := range c.refused {
+		if n := c.refused[reason].Load(); n > 0 {
+			if s.Refused == nil {
+				s.Refused = map[string]uint64{}
+			}
+			s.Refused[refusalName(wire.Refusal(reason))] = n
+		}
+	}
+	return s
+}
+
+func refusalName(r wire.Refusal) string {
+	return strings.ToLower(strings.TrimPrefix(r.String(), "REFUSAL_"))
+}
--- /dev/null
+++ b/internal/edge/mesh/mesh_test.go
@@ -0,0 +1,357 @@
+package mesh
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rs/zerolog"
+
+	"pollentack.example/pollentack/internal/core/membership"
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/duty"
+	"pollentack.example/pollentack/internal/ring"
+	"pollentack.example/pollentack/internal/settings"
+	"pollentack.example/pollentack/internal/wire"
+)
+
+const loopbackPort = "127.0.0.1:0"
+
+// peer is a mesh with the events that it gave.
+type peer struct {
+	*Mesh
+	events *ring.Ring[membership.Event]
+}
+
+func startPeer(t *testing.T, name string, started uint64, adjust func(*Options)) *peer {
+	t.Helper()
+	p := &peer{events: ring.New[membership.Event](name, 1024)}
+	o := Options{
+		Host: name, Zone: "zone-" + name, Listen: loopbackPort, Log: zerolog.Nop(),
+		Incarnation: membership.Incarnation{Started: started},
+		Emit:        func(ev membership.Event) bool { return p.events.Put(ev) },
+	}
+	if adjust != nil {
+		adjust(&o)
+	}
+	m, err := Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Mesh = m
+	t.Cleanup(m.Stop)
+	return p
+}
+
+func (p *peer) host() release.Host {
+	return release.Host{Name: p.options.Host, Zone: p.options.Zone, Mesh: p.Address()}
+}
+
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 2000 {
+		if condition() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("waited in vain for %s", what)
+}
+
+func join(t *testing.T, a, b *peer) {
+	t.Helper()
+	hosts := []release.Host{a.host(), b.host()}
+	a.Apply(hosts, []string{b.options.Host})
+	b.Apply(hosts, []string{a.options.Host})
+	await(t, "one link each way", func() bool { return len(a.Peers()) == 1 && len(b.Peers()) == 1 })
+}
+
+// TestHeartbeatsArriveWhole checks that a heartbeat crosses a link unchanged.
+func TestHeartbeatsArriveWhole(t *testing.T) {
+	a, b := startPeer(t, "a", 1, nil), startPeer(t, "b", 2, nil)
+	join(t, a, b)
+	a.Send("b", &membership.Heartbeat{Sequence: 7, Echo: 3, Note: 9, Hash: 11, UpTo: 5, Merged: 4, Leaving: true})
+	batch := make([]membership.Event, 1)
+	for {
+		if n, _ := b.events.Take(batch, 5*time.Second); n == 0 {
+			t.Fatal("no heartbeat arrived")
+		}
+		heard, ok := batch[0].(*membership.Heard)
+		if !ok {
+			continue
+		}
+		if heard.Peer != "a" || heard.Incarnation.Started != 1 || heard.Heartbeat.Sequence != 7 || heard.Heartbeat.Note != 9 || !heard.Heartbeat.Leaving {
+			t.Fatalf("heard %+v %+v", heard, heard.Heartbeat)
+		}
+		return
+	}
+}
+
+// TestCallsGoBothWays checks that either side of one link can call the other.
+func TestCallsGoBothWays(t *testing.T) {
+	a, b := startPeer(t, "a", 1, nil), startPeer(t, "b", 2, nil)
+	for _, p := range []*peer{a, b} {
+		p.Handle(wire.CallKind_CALL_KIND_NOTE, func(from string, payload []byte) []byte {
+			return append([]byte(from+">"+p.options.Host+":"), payload...)
+		})
+	}
+	join(t, a, b)
+	for _, pair := range [][2]*peer{{a, b}, {b, a}} {
+		got, err := pair[0].Call(pair[1].options.Host, wire.CallKind_CALL_KIND_NOTE, []byte("x"), time.Second)
+		want := fmt.Sprintf("%s>%s:x", pair[0].options.Host, pair[1].options.Host)
+		if err != nil || string(got) != want {
+			t.Errorf("call gave %q, %v; want %q", got, err, want)
+		}
+	}
+}
+
+// TestCallErrorsAreTrue checks that "never sent" is said only where no handler ran, and
+// that an outcome that is not known is called so.
+func TestCallErrorsAreTrue(t *testing.T) {
+	a, b := startPeer(t, "a", 1, nil), startPeer(t, "b", 2, nil)
+	join(t, a, b)
+	began := make(chan struct{})
+	release := make(chan struct{})
+	b.Handle(wire.CallKind_CALL_KIND_ONCE, func(string, []byte) []byte {
+		close(began)
+		<-release
+		return nil
+	})
+	if _, err := a.Call("b", wire.CallKind_CALL_KIND_SUBQUERY, nil, time.Second); !errors.Is(err, ErrNotSent) {
+		t.Errorf("no handler: %v, want ErrNotSent", err)
+	}
+	if _, err := a.Call("c", wire.CallKind_CALL_KIND_ONCE, nil, time.Second); !errors.Is(err, ErrNotSent) {
+		t.Errorf("unknown host: %v, want ErrNotSent", err)
+	}
+	if _, err := a.Call("b", wire.CallKind_CALL_KIND_ONCE, bytes.Repeat([]byte{1}, wire.MaxCallBytes), time.Second); !errors.Is(err, ErrNotSent) {
+		t.Errorf("oversized: %v, want ErrNotSent", err)
+	}
+	if _, err := a.Call("b", wire.CallKind_CALL_KIND_ONCE, nil, 200*time.Millisecond); !errors.Is(err, ErrUnknown) {
+		t.Errorf("handler outlasts the call: %v, want ErrUnknown", err)
+	}
+	<-began
+	close(release)
+}
+
+// rawHello dials p and says h as a dialer; it returns the answer.
+func rawHello(t *testing.T, p *peer, h *wire.Hello) (*wire.Hello, error) {
+	t.Helper()
+	from := startPeer(t, "raw", 1, nil)
+	conn, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	session, err := yamuxClient(conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer session.Close()
+	stream, err := session.OpenStream()
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer := &wire.Hello{}
+	return answer, from.exchange(stream, h, answer)
+}
+
+// TestHelloIsChecked checks each reason to refuse a peer, and that it is counted.
+func TestHelloIsChecked(t *testing.T) {
+	p := startPeer(t, "p", 1, nil)
+	known := release.Host{Name: "q", Zone: "zone-q", Mesh: "127.0.0.1:1"}
+	p.Apply([]release.Host{p.host(), known}, nil)
+	p.mu.Lock()
+	p.newest["q"] = seen{incarnation: membership.Incarnation{Started: 50}, at: time.Now()}
+	p.mu.Unlock()
+	good := func() *wire.Hello {
+		return &wire.Hello{Version: wire.ProtocolVersion, Host: "q", Zone: "zone-q", To: "p", Incarnation: &wire.Incarnation{Started: 50}}
+	}
+	cases := []struct {
+		reason wire.Refusal
+		spoil  func(*wire.Hello)
+	}{
+		{wire.Refusal_REFUSAL_NONE, func(*wire.Hello) {}},
+		{wire.Refusal_REFUSAL_VERSION, func(h *wire.Hello) { h.Version++ }},
+		{wire.Refusal_REFUSAL_UNKNOWN_HOST, func(h *wire.Hello) { h.Host = "stranger" }},
+		{wire.Refusal_REFUSAL_WRONG_ZONE, func(h *wire.Hello) { h.Zone = "zone-p" }},
+		{wire.Refusal_REFUSAL_WRONG_HOST, func(h *wire.Hello) { h.To = "q" }},
+		{wire.Refusal_REFUSAL_OLD_INCARNATION, func(h *wire.Hello) { h.Incarnation.Started = 49 }},
+	}
+	for _, c := range cases {
+		h := good()
+		c.spoil(h)
+		before := p.Stats().Refused[refusalName(c.reason)]
+		answer, err := rawHello(t, p, h)
+		if err != nil || answer.GetRefusal() != c.reason {
+			t.Errorf("%s: answer %v, %v", c.reason, answer.GetRefusal(), err)
+		}
+		if after := p.Stats().Refused[refusalName(c.reason)]; c.reason != wire.Refusal_REFUSAL_NONE && after != before+1 {
+			t.Errorf("%s: counted %d times", c.reason, after-before)
+		}
+	}
+}
+
+// TestBadFramesEndTheLink checks that an oversized and a malformed frame are counted and
+// that the link does not outlive them.
+func TestBadFramesEndTheLink(t *testing.T) {
+	bad := map[string][]byte{
+		"oversized": {0xff, 0xff, 0xff, 0xff},
+		"malformed": {0, 0, 0, 2, 0xff, 0xff},
+	}
+	for name, frame := range bad {
+		a, b := startPeer(t, "a", 1, nil), startPeer(t, "b", 2, nil)
+		join(t, a, b)
+		old := a.linkTo("b")
+		if _, err := old.beats.Write(frame); err != nil {
+			t.Fatal(err)
+		}
+		await(t, name+" to be counted", func() bool { s := b.Stats(); return s.FramesOversized+s.FramesMalformed == 1 })
+		await(t, "a new link after "+name, func() bool { l := a.linkTo("b"); return l != nil && l != old })
+	}
+}
+
+// TestOneLinkForEachPair checks that calls from both sides at once leave one link.
+func TestOneLinkForEachPair(t *testing.T) {
+	a, b := startPeer(t, "a", 1, nil), startPeer(t, "b", 2, nil)
+	hosts := []release.Host{a.host(), b.host()}
+	a.Apply(hosts, nil)
+	b.Apply(hosts, nil)
+	workers, err := duty.NewWorkers(2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer workers.Close()
+	for _, pair := range [][2]*peer{{a, b}, {b, a}} {
+		err := workers.Submit(func() {
+			_, _ = pair[0].Call(pair[1].options.Host, wire.CallKind_CALL_KIND_NOTE, nil, time.Second)
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	await(t, "the same link on both sides", func() bool {
+		l, r := a.linkTo("b"), b.linkTo("a")
+		return l != nil && r != nil && l.session.LocalAddr().String() == r.session.RemoteAddr().String()
+	})
+}
+
+// authority makes certificates for a test.
+type authority struct {
+	t    *testing.T
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t, dir: t.TempDir()}
+	a.key, _ = ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "mesh"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.cert, _ = x509.ParseCertificate(der)
+	a.write("authority.pem", "CERTIFICATE", der)
+	return a
+}
+
+func (a *authority) write(name, kind string, der []byte) string {
+	path := filepath.Join(a.dir, name)
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+	return path
+}
+
+// issue writes a certificate that names host and returns its files.
+func (a *authority) issue(file, host string, serial int64) settings.Mesh {
+	key, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), DNSNames: []string{host},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	raw, _ := x509.MarshalPKCS8PrivateKey(key)
+	return settings.Mesh{
+		Certificate: a.write(file+".pem", "CERTIFICATE", der),
+		Key:         a.write(file+".key", "PRIVATE KEY", raw),
+		Authority:   filepath.Join(a.dir, "authority.pem"),
+	}
+}
+
+// TestMutualTLS checks that hosts with certificates of one authority link, that a
+// certificate for another name or of another authority does not, and that a renewed
+// certificate is used without a stop while an unusable one is not.
+func TestMutualTLS(t *testing.T) {
+	ours, theirs := newAuthority(t), newAuthority(t)
+	with := func(files settings.Mesh) func(*Options) { return func(o *Options) { o.Mesh = files } }
+	a := startPeer(t, "a", 1, with(ours.issue("a", "a", 2)))
+	b := startPeer(t, "b", 2, with(ours.issue("b", "b", 3)))
+	join(t, a, b)
+	for name, files := range map[string]settings.Mesh{"name": ours.issue("d", "other", 4), "authority": theirs.issue("c", "c", 5)} {
+		c := startPeer(t, "c", 3, with(files))
+		a.Apply([]release.Host{a.host(), b.host(), c.host()}, []string{"b"})
+		c.Apply([]release.Host{a.host(), c.host()}, nil)
+		if _, err := c.Call("a", wire.CallKind_CALL_KIND_NOTE, nil, time.Second); !errors.Is(err, ErrNotSent) {
+			t.Errorf("wrong %s: %v, want ErrNotSent", name, err)
+		}
+		await(t, "the refusal to be counted", func() bool { return a.Stats().Refused["certificate"] > 0 })
+	}
+	if err := os.WriteFile(b.options.Mesh.Certificate, []byte("spoiled"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	b.linkTo("a").close()
+	await(t, "a link with the last good certificate", func() bool { return len(a.Peers()) == 1 && len(b.Peers()) == 1 })
+	ours.issue("b", "b", 77)
+	if serial := b.security.identity().certificate.Leaf.SerialNumber.Int64(); serial != 77 {
+		t.Errorf("serial %d is in use after the renewal, want 77", serial)
+	}
+}
+
+// TestPlainLinksStayOnLoopback checks that a host off loopback does not start without
+// certificates, and that a plain host dials no address off loopback.
+func TestPlainLinksStayOnLoopback(t *testing.T) {
+	if _, err := newSecurity(&settings.Mesh{}, "192.0.2.1:7000", zerolog.Nop()); err == nil {
+		t.Error("a plain mesh on 192.0.2.1 was accepted")
+	}
+	a := startPeer(t, "a", 1, nil)
+	if _, err := a.security.client(release.Host{Name: "b", Mesh: "192.0.2.1:7000"}); !errors.Is(err, errInsecure) {
+		t.Errorf("dial of 192.0.2.1: %v", err)
+	}
+	if _, err := newSecurity(&settings.Mesh{Certificate: "none", Key: "none", Authority: "none"}, loopbackPort, zerolog.Nop()); err == nil {
+		t.Error("missing certificate files were accepted")
+	}
+}
+
+// TestSeedsReachAHostWithNothingInForce checks that a starting host links to its seeds.
+func TestSeedsReachAHostWithNothingInForce(t *testing.T) {
+	a := startPeer(t, "a", 1, nil)
+	b := startPeer(t, "b", 2, func(o *Options) {
+		o.Mesh.Seeds = []settings.Seed{{Name: "a", Address: a.Address()}}
+	})
+	a.Apply([]release.Host{a.host(), b.host()}, []string{"b"})
+	await(t, "a link", func() bool { return len(b.Peers()) == 1 })
+}
+
+func yamuxClient(conn net.Conn) (*yamux.Session, error) { return yamux.Client(conn, sessionConfig()) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"pollentack.example/pollentack/internal/inifile"
@@ -19,6 +20,22 @@
 	Policy   Policy
 	Log      Log
 	Trace    Trace
+	Mesh     Mesh
+}
+
+// Mesh names the PEM files of mutual TLS between hosts; all are empty on loopback.
+type Mesh struct {
+	Certificate string
+	Key         string
+	Authority   string
+	// Seeds are peers that a starting host asks when the platform is down.
+	Seeds []Seed
+}
+
+// Seed is a peer's name and mesh address.
+type Seed struct {
+	Name    string
+	Address string
 }
 
 // Host says who this process is.
@@ -64,7 +81,7 @@
 	File     string
 }
 
-const knownSections = "host, listen, platform, limits, policy, log, trace"
+const knownSections = "host, listen, platform, limits, policy, log, trace, mesh"
 
 // Default returns the settings of an empty file; name and addresses are missing.
 func Default() *Settings {
@@ -93,6 +110,7 @@
 		"policy":   s.readPolicy,
 		"log":      s.readLog,
 		"trace":    s.readTrace,
+		"mesh":     s.readMesh,
 	}
 	for _, section := range f.Sections {
 		read, ok := readers[section.Name]
@@ -146,3 +164,21 @@
 	s.Trace.Address = sec.Text("address", "")
 	s.Trace.File = sec.Text("file", "")
 }
+
+func (s *Settings) readMesh(sec *inifile.Section) {
+	s.Mesh.Certificate = sec.Text("certificate", "")
+	s.Mesh.Key = sec.Text("key", "")
+	s.Mesh.Authority = sec.Text("authority", "")
+	set := s.Mesh.Certificate != "" || s.Mesh.Key != "" || s.Mesh.Authority != ""
+	if set && (s.Mesh.Certificate == "" || s.Mesh.Key == "" || s.Mesh.Authority == "") {
+		sec.Fault("certificate", "certificate, key and authority are set together or not at all")
+	}
+	for _, text := range sec.List("seeds") {
+		name, address, ok := strings.Cut(text, "@")
+		if !ok || name == "" || address == "" {
+			sec.Fault("seeds", "%q is not NAME@ADDRESS", text)
+			continue
+		}
+		s.Mesh.Seeds = append(s.Mesh.Seeds, Seed{Name: name, Address: address})
+	}
+}
--- /dev/null
+++ b/internal/wire/convert.go
@@ -0,0 +1,73 @@
+package wire
+
+import (
+	"time"
+
+	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/membership"
+)
+
+// FromIncarnation returns the message for an incarnation.
+func FromIncarnation(i membership.Incarnation) *Incarnation {
+	return &Incarnation{Started: i.Started, Nonce: i.Nonce}
+}
+
+// Core returns the core's form; a missing message is the zero incarnation.
+func (x *Incarnation) Core() membership.Incarnation {
+	return membership.Incarnation{Started: x.GetStarted(), Nonce: x.GetNonce()}
+}
+
+// FromHeartbeat returns the message for a heartbeat.
+func FromHeartbeat(h *membership.Heartbeat) *Heartbeat {
+	m := &Heartbeat{
+		Sequence:  h.Sequence,
+		Echo:      h.Echo,
+		Note:      h.Note,
+		FactsHash: h.Hash,
+		UpTo:      h.UpTo,
+		Merged:    h.Merged,
+		Leaving:   h.Leaving,
+	}
+	for _, f := range h.Facts {
+		m.Facts = append(m.Facts, &TargetFact{
+			Target:      f.Target,
+			Incarnation: f.Incarnation,
+			Cold:        f.Cold,
+			Level:       f.Level,
+			Leaving:     f.Leaving,
+		})
+	}
+	for _, c := range h.Convictions {
+		m.Convictions = append(m.Convictions, &Conviction{Fingerprint: c.Fingerprint, Until: int64(c.Until)})
+	}
+	return m
+}
+
+// Core returns the core's form of the heartbeat.
+func (x *Heartbeat) Core() *membership.Heartbeat {
+	h := &membership.Heartbeat{
+		Sequence: x.GetSequence(),
+		Echo:     x.GetEcho(),
+		Note:     x.GetNote(),
+		Hash:     x.GetFactsHash(),
+		UpTo:     x.GetUpTo(),
+		Merged:   x.GetMerged(),
+		Leaving:  x.GetLeaving(),
+	}
+	for _, f := range x.GetFacts() {
+		h.Facts = append(h.Facts, engine.TargetFact{
+			Target:      f.GetTarget(),
+			Incarnation: f.GetIncarnation(),
+			Cold:        f.GetCold(),
+			Level:       f.GetLevel(),
+			Leaving:     f.GetLeaving(),
+		})
+	}
+	for _, c := range x.GetConvictions() {
+		h.Convictions = append(h.Convictions, engine.Conviction{
+			Fingerprint: c.GetFingerprint(),
+			Until:       time.Duration(c.GetUntil()),
+		})
+	}
+	return h
+}
--- /dev/null
+++ b/internal/wire/frame_test.go
@@ -0,0 +1,57 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// FuzzFrame checks that no input makes the reader panic, read past its frame or take a
+// frame above the limit, and that what it accepts survives a round trip through the core's form.
+func FuzzFrame(f *testing.F) {
+	for _, m := range []proto.Message{
+		&Hello{Version: 1, Host: "host-1", Zone: "dakar-a", Incarnation: &Incarnation{Started: 1, Nonce: 2}},
+		&Heartbeat{Sequence: 1, Note: 7, Facts: []*TargetFact{{Target: "t", Incarnation: 3, Level: 2, Cold: true}}},
+		&Request{Kind: CallKind_CALL_KIND_NOTE, Payload: []byte("x")},
+	} {
+		var b bytes.Buffer
+		if _, err := WriteFrame(&b, m, MaxHelloBytes); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b.Bytes())
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0})
+	f.Add([]byte{0, 0, 0, 2, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for _, m := range []proto.Message{&Hello{}, &Heartbeat{}, &Request{}, &Response{}, &NoteReply{}} {
+			r := bytes.NewReader(data)
+			n, err := ReadFrame(r, m, MaxHelloBytes)
+			if n > lengthBytes+MaxHelloBytes {
+				t.Fatalf("%d bytes read, over the limit", n)
+			}
+			if err != nil {
+				continue
+			}
+			if used := len(data) - r.Len(); used != n {
+				t.Fatalf("%d bytes used, %d reported", used, n)
+			}
+			if h, ok := m.(*Heartbeat); ok {
+				again := FromHeartbeat(h.Core()).Core()
+				if !proto.Equal(FromHeartbeat(h.Core()), FromHeartbeat(again)) {
+					t.Fatal("a heartbeat changes in the round trip")
+				}
+			}
+		}
+	})
+}
+
+// TestFrameAboveItsLimitIsNotWritten checks that the sender keeps the receiver's bound.
+func TestFrameAboveItsLimitIsNotWritten(t *testing.T) {
+	var b bytes.Buffer
+	_, err := WriteFrame(&b, &Request{Payload: make([]byte, MaxHelloBytes+1)}, MaxHelloBytes)
+	if !errors.Is(err, ErrOversized) || b.Len() > 0 {
+		t.Fatalf("%v, %d bytes written", err, b.Len())
+	}
+}
