Read settings and notes strictly, with every fault in line order

Cause: faults of missing sections came in map order, addresses were any text, NaN passed every range check, an item's name could hold characters that the note could not be written with again, and a note that was cut behind any item was taken as whole.

--- a/cmd/pollentack/check.go
+++ b/cmd/pollentack/check.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"os"
 
 	"pollentack.example/pollentack/internal/core/release"
@@ -14,18 +16,20 @@
 }
 
 type settingsCheckCmd struct {
-	Files []string `arg:"" help:"Settings files (INI)." type:"existingfile"`
+	Files []string `arg:"" help:"Settings files (INI)."`
 }
 
 // Run checks each file; exit code 2 means that one has faults.
-func (cmd *settingsCheckCmd) Run() error {
+func (cmd *settingsCheckCmd) Run(stdout io.Writer) error {
+	var faulty []error
 	for _, path := range cmd.Files {
 		if _, err := settings.Load(path); err != nil {
-			return usage(err)
+			faulty = append(faulty, err)
+			continue
 		}
-		fmt.Printf("%s: ok\n", path)
+		fmt.Fprintf(stdout, "%s: ok\n", path)
 	}
-	return nil
+	return usage(errors.Join(faulty...))
 }
 
 type noteCmd struct {
@@ -33,11 +37,11 @@
 }
 
 type noteCheckCmd struct {
-	Files []string `arg:"" help:"Note files (INI) in their order, a baseline first." type:"existingfile"`
+	Files []string `arg:"" help:"Note files (INI) in their order, a baseline first."`
 }
 
 // Run folds the notes; exit code 2 means that one would be refused.
-func (cmd *noteCheckCmd) Run() error {
+func (cmd *noteCheckCmd) Run(stdout io.Writer) error {
 	var state *release.State
 	for _, path := range cmd.Files {
 		next, err := foldFile(state, path)
@@ -45,7 +49,7 @@
 			return usage(err)
 		}
 		state = next
-		fmt.Printf("%s: ok, note %d\n", path, state.Number)
+		fmt.Fprintf(stdout, "%s: ok, note %d\n", path, state.Number)
 	}
 	return nil
 }
--- a/cmd/pollentack/main.go
+++ b/cmd/pollentack/main.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/alecthomas/kong"
@@ -33,12 +34,18 @@
 	Version    versionCmd    `cmd:"" help:"Print the version."`
 }
 
-func main() {
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run carries out one command line and returns the exit code. A command that takes an
+// io.Writer prints to stdout.
+func run(args []string, stdout, stderr io.Writer) int {
 	var c cli
 	parser := kong.Must(&c,
 		kong.Name("pollentack"),
 		kong.Description("A query tier over many shards.\n\nExit codes: 0 done, 1 the command ran and failed, 2 wrong usage or a faulty file."),
 		kong.UsageOnError(),
+		kong.Writers(stdout, stderr),
+		kong.BindTo(stdout, (*io.Writer)(nil)),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 		kong.Exit(func(code int) {
 			if code != 0 {
@@ -47,19 +54,19 @@
 			os.Exit(code)
 		}),
 	)
-	ctx, err := parser.Parse(os.Args[1:])
+	ctx, err := parser.Parse(args)
 	parser.FatalIfErrorf(err)
-	os.Exit(exitCode(ctx.Run()))
+	return exitCode(ctx.Run(), stderr)
 }
 
-func exitCode(err error) int {
+func exitCode(err error, stderr io.Writer) int {
 	if err == nil {
 		return 0
 	}
 	if errors.Is(err, errFailed) {
 		return exitFailed
 	}
-	fmt.Fprintln(os.Stderr, err)
+	fmt.Fprintln(stderr, err)
 	var usage *usageError
 	if errors.As(err, &usage) {
 		return exitUsage
--- a/internal/core/release/fold.go
+++ b/internal/core/release/fold.go
@@ -21,6 +21,7 @@
 		return nil, []Fault{{Item: "note", Reason: fmt.Sprintf("number %d is not above %d, which is in force", note.Number, s.Number)}}
 	}
 	f.next.Number = note.Number
+	f.lines = linesOf(note)
 	for i := range note.Items {
 		f.apply(&note.Items[i])
 	}
@@ -55,6 +56,8 @@
 type folder struct {
 	next   *State
 	faults []Fault
+	// lines maps the label of each item of the note to its line.
+	lines map[string]int
 }
 
 func (f *folder) fault(item *Item, name, format string, args ...any) {
@@ -124,7 +127,7 @@
 
 func (f *folder) applySnapshot(item *Item) {
 	snap := item.Snapshot
-	label := fmt.Sprintf("snapshot %s %d/%s", snap.Service, snap.Version, snap.Layout)
+	label := snap.label()
 	old, ok := f.next.Services[snap.Service]
 	if !ok {
 		f.fault(item, label, "names service %q, which is not in force", snap.Service)
@@ -158,38 +161,3 @@
 	}
 	return strings.Compare(a.Layout, b.Layout)
 }
-
-// checkReferences refuses a state in which an item names another that is not there.
-func (f *folder) checkReferences() {
-	whole := &Item{}
-	for _, name := range slices.Sorted(maps.Keys(f.next.Targets)) {
-		t := f.next.Targets[name]
-		if _, ok := f.next.Services[t.Service]; !ok {
-			f.fault(whole, "target "+name, "names service %q, which is not in force", t.Service)
-		}
-		if _, ok := f.next.Zones[t.Zone]; !ok {
-			f.fault(whole, "target "+name, "names availability zone %q, which is not in force", t.Zone)
-		}
-	}
-	for _, name := range slices.Sorted(maps.Keys(f.next.Services)) {
-		for _, snap := range f.next.Services[name].Snapshots {
-			f.checkSnapshot(whole, snap)
-		}
-	}
-	for _, h := range f.next.Hosts {
-		if _, ok := f.next.Zones[h.Zone]; !ok {
-			f.fault(whole, "host "+h.Name, "names availability zone %q, which is not in force", h.Zone)
-		}
-	}
-}
-
-func (f *folder) checkSnapshot(whole *Item, snap *Snapshot) {
-	label := fmt.Sprintf("snapshot %s %d/%s", snap.Service, snap.Version, snap.Layout)
-	for i, shard := range snap.Shards {
-		for _, name := range shard.Replicas {
-			if _, ok := f.next.Targets[name]; !ok {
-				f.fault(whole, label, "shard %d names target %q, which is not in force", i, name)
-			}
-		}
-	}
-}
--- a/internal/core/release/note.go
+++ b/internal/core/release/note.go
@@ -36,7 +36,9 @@
 
 // Fault is one reason to refuse a note.
 type Fault struct {
-	Line   int
-	Item   string
-	Reason string
+	// Line is where the entry at fault begins, 0 where no line of the note is.
+	Line   int    `json:"line,omitempty"`
+	Item   string `json:"item,omitempty"`
+	Key    string `json:"key,omitempty"`
+	Reason string `json:"reason"`
 }
--- a/internal/edge/platform/reader.go
+++ b/internal/edge/platform/reader.go
@@ -15,7 +15,6 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"pollentack.example/pollentack/internal/core/control"
-	"pollentack.example/pollentack/internal/core/release"
 	"pollentack.example/pollentack/internal/inifile"
 	"pollentack.example/pollentack/internal/note"
 	"pollentack.example/pollentack/internal/platformapi"
@@ -115,19 +114,11 @@
 	ev := &control.NoteRead{Number: number, Note: parsed}
 	var faults inifile.Faults
 	if errors.As(err, &faults) {
-		ev.Faults = faultsOf(faults)
+		ev.Faults = note.CoreFaults(faults)
 	}
 	return r.emit(ev)
 }
 
-func faultsOf(faults inifile.Faults) []release.Fault {
-	list := make([]release.Fault, len(faults))
-	for i, f := range faults {
-		list[i] = release.Fault{Line: f.Line, Item: f.Section, Reason: f.Key + ": " + f.Reason}
-	}
-	return list
-}
-
 func (r *Reader) get(url string, timeout time.Duration) ([]byte, error) {
 	r.calls.Add(1)
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
--- a/internal/inifile/file.go
+++ b/internal/inifile/file.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 
 	"gopkg.in/ini.v1"
@@ -68,7 +69,7 @@
 // Parse reads text. Syntax errors, repeated sections and repeated keys are faults.
 func Parse(name string, text []byte) *File {
 	f := &File{Name: name}
-	options := ini.LoadOptions{Insensitive: false, IgnoreInlineComment: false, SkipUnrecognizableLines: true}
+	options := ini.LoadOptions{IgnoreContinuation: true, SkipUnrecognizableLines: true}
 	parsed, err := ini.LoadSources(options, text)
 	if err != nil {
 		f.Faults = append(f.Faults, Fault{File: name, Line: 1, Reason: err.Error()})
@@ -101,6 +102,9 @@
 		f.fault(line, "", "", "section has no closing bracket")
 		return nil
 	}
+	if rest := strings.TrimSpace(raw[end+1:]); rest != "" && rest[0] != '#' && rest[0] != ';' {
+		f.fault(line, "", "", fmt.Sprintf("%q stands behind the closing bracket", rest))
+	}
 	name := strings.TrimSpace(raw[1:end])
 	for _, s := range f.Sections {
 		if s.Name == name {
@@ -127,6 +131,10 @@
 		f.fault(line, section.Name, key, fmt.Sprintf("key repeats the one on line %d", old.line))
 		return
 	}
+	if strings.ContainsAny(raw, "\"`") {
+		f.fault(line, section.Name, key, "quotes are not allowed")
+		return
+	}
 	value := parsed.Section(section.Name).Key(key).Value()
 	section.keys[key] = entry{value: value, line: line}
 }
@@ -145,16 +153,26 @@
 	return nil
 }
 
+// Fail adds a fault of the text as a whole, at its last section.
+func (f *File) Fail(reason string) {
+	line := 1
+	if len(f.Sections) > 0 {
+		line = f.Sections[len(f.Sections)-1].Line
+	}
+	f.fault(line, "", "", reason)
+}
+
 // Unknown adds a fault for a section that the reader of the file does not know.
 func (f *File) Unknown(s *Section, known string) {
 	f.fault(s.Line, s.Name, "", "unknown section; known are "+known)
 }
 
-// Err returns the faults as an error, or nil.
+// Err returns the faults in the order of their lines as an error, or nil.
 func (f *File) Err() error {
 	if len(f.Faults) == 0 {
 		return nil
 	}
+	slices.SortStableFunc(f.Faults, func(a, b Fault) int { return a.Line - b.Line })
 	return f.Faults
 }
 
--- a/internal/inifile/value.go
+++ b/internal/inifile/value.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -43,6 +45,79 @@
 	return value
 }
 
+// maxNameBytes bounds a name.
+const maxNameBytes = 128
+
+// nameForm says what IsName allows.
+const nameForm = "allowed are 1 to 128 letters, digits, dots, hyphens and underscores"
+
+// IsName reports whether text can name something: a host, a service, a target.
+func IsName(text string) bool {
+	for i := range len(text) {
+		c := text[i]
+		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		digit := '0' <= c && c <= '9'
+		if !letter && !digit && c != '.' && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return text != "" && len(text) <= maxNameBytes
+}
+
+// RequiredName returns the name at key, which must be there.
+func (s *Section) RequiredName(key string) string {
+	text := s.Text(key, "")
+	switch {
+	case text == "":
+		s.Fault(key, "is required; %s", nameForm)
+	case !IsName(text):
+		s.Fault(key, "%q is not a name; %s", text, nameForm)
+	}
+	return text
+}
+
+// Names returns the comma-separated names of key.
+func (s *Section) Names(key string) []string {
+	names := s.List(key)
+	seen := make(map[string]bool, len(names))
+	for _, name := range names {
+		if !IsName(name) {
+			s.Fault(key, "%q is not a name; %s", name, nameForm)
+		}
+		if seen[name] {
+			s.Fault(key, "%q is listed twice", name)
+		}
+		seen[name] = true
+	}
+	return names
+}
+
+// addressForm says what Address allows.
+const addressForm = "allowed is IP:PORT with a port from 1 to 65535, such as 10.20.0.7:7310"
+
+// Address returns the IP:PORT at key, which must be there.
+func (s *Section) Address(key string) string {
+	text := s.Text(key, "")
+	if text == "" {
+		s.Fault(key, "is required; %s", addressForm)
+		return ""
+	}
+	return s.OptionalAddress(key)
+}
+
+// OptionalAddress returns the IP:PORT at key, or nothing.
+func (s *Section) OptionalAddress(key string) string {
+	text := s.Text(key, "")
+	if text == "" {
+		return ""
+	}
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || address.Port() == 0 || address.Addr().Zone() != "" {
+		s.Fault(key, "%q is not an address; %s", text, addressForm)
+	}
+	return text
+}
+
 // Int returns a whole number between least and most.
 func (s *Section) Int(key string, fallback, least, most int) int {
 	text := s.Text(key, "")
@@ -74,7 +149,7 @@
 		return fallback
 	}
 	n, err := strconv.ParseFloat(text, 64)
-	if err != nil {
+	if err != nil || math.IsNaN(n) {
 		s.Fault(key, "%q is not a number; allowed are %g to %g", text, least, most)
 		return fallback
 	}
--- a/internal/note/faults.go
+++ b/internal/note/faults.go
@@ -9,7 +9,16 @@
 func FaultsOf(name string, faults []release.Fault) inifile.Faults {
 	list := make(inifile.Faults, len(faults))
 	for i, f := range faults {
-		list[i] = inifile.Fault{File: name, Line: f.Line, Section: f.Item, Reason: f.Reason}
+		list[i] = inifile.Fault{File: name, Line: f.Line, Section: f.Item, Key: f.Key, Reason: f.Reason}
+	}
+	return list
+}
+
+// CoreFaults gives the faults of an encoding in the form that the core keeps.
+func CoreFaults(faults inifile.Faults) []release.Fault {
+	list := make([]release.Fault, len(faults))
+	for i, f := range faults {
+		list[i] = release.Fault{Line: f.Line, Item: f.Section, Key: f.Key, Reason: f.Reason}
 	}
 	return list
 }
--- a/internal/note/format.go
+++ b/internal/note/format.go
@@ -35,6 +35,7 @@
 	for i := range n.Items {
 		formatItem(&b, &n.Items[i])
 	}
+	fmt.Fprintf(&b, "\n[%s]\nitems = %d\n", sectionEnd, len(n.Items))
 	return []byte(b.String())
 }
 
--- a/internal/note/parse.go
+++ b/internal/note/parse.go
@@ -2,7 +2,8 @@
 //
 // A note begins with a [note] section. Each further section is one item:
 // "[add KIND NAME]", "[change KIND NAME]" or "[withdraw KIND NAME]". A baseline note
-// has only "add" items. The decisions on a note are in core/release.
+// has only "add" items. The last section is [end] with the number of items, so that a
+// text which was cut anywhere is refused. The decisions on a note are in core/release.
 package note
 
 import (
@@ -34,23 +35,59 @@
 	f := inifile.Parse(name, text)
 	n := &release.Note{}
 	for _, s := range f.Sections {
-		if s.Name == "note" {
+		switch s.Name {
+		case sectionHead:
 			readHead(n, s)
-			continue
+		case sectionEnd:
+		default:
+			readItem(n, f, s)
 		}
-		readItem(n, f, s)
 	}
-	if f.Section("note") == nil {
-		inifile.Empty(f, "note").Fault("", "section is required")
+	if f.Section(sectionHead) == nil {
+		inifile.Empty(f, sectionHead).Fault("", "section is required")
 	}
+	readEnd(f)
 	return n, f.Err()
 }
 
+// Sections that are not items.
+const (
+	sectionHead = "note"
+	sectionEnd  = "end"
+)
+
 func readHead(n *release.Note, s *inifile.Section) {
 	n.Number = s.Uint("number")
+	if n.Number == 0 && s.Has("number") {
+		s.Fault("number", "is 0; allowed are 1 and above")
+	}
 	n.Baseline = s.Choice("kind", "change", "baseline", "change") == "baseline"
 	if !n.Baseline {
 		n.Follows = s.Uint("follows")
+		if n.Follows >= n.Number {
+			s.Fault("follows", "is %d; allowed are numbers below the note's own", n.Follows)
+		}
+	}
+	s.RejectUnused()
+}
+
+// readEnd checks that the text is whole: [end] is the last section and its count is
+// that of the items before it.
+func readEnd(f *inifile.File) {
+	s := f.Section(sectionEnd)
+	if s == nil {
+		f.Fail("section [end] is missing: the note was cut short")
+		return
+	}
+	if last := f.Sections[len(f.Sections)-1]; last != s {
+		s.Fault("", "is not the last section: [%s] follows it", last.Name)
+	}
+	items := len(f.Sections) - 1
+	if f.Section(sectionHead) != nil {
+		items--
+	}
+	if count := s.Uint("items"); s.Has("items") && count != uint64(items) {
+		s.Fault("items", "is %d, but the note has %d items: it was cut short", count, items)
 	}
 	s.RejectUnused()
 }
@@ -68,12 +105,18 @@
 		f.Unknown(s, "note and items: "+itemForm)
 		return
 	}
+	if n.Baseline && item.Op != release.Add {
+		s.Fault("", "a baseline note carries the whole; allowed is add")
+	}
 	s.RejectUnused()
 	n.Items = append(n.Items, item)
 }
 
 func readKind(item *release.Item, s *inifile.Section, kind string, names []string) bool {
 	name := names[0]
+	if kind != "snapshot" && (len(names) != 1 || !inifile.IsName(name)) {
+		return false
+	}
 	gone := item.Op == release.Withdraw
 	switch kind {
 	case "availability-zone":
@@ -110,13 +153,13 @@
 }
 
 func readZone(z *release.Zone, s *inifile.Section) {
-	z.Region = s.Required("region")
+	z.Region = s.RequiredName("region")
 	z.Out = s.Choice("state", "in", "in", "out") == "out"
 }
 
 func readHost(h *release.Host, s *inifile.Section) {
-	h.Zone = s.Required("availability-zone")
-	h.Mesh = s.Required("mesh")
+	h.Zone = s.RequiredName("availability-zone")
+	h.Mesh = s.Address("mesh")
 }
 
 var criticalities = map[string]release.Criticality{
@@ -152,16 +195,16 @@
 		c.KeyHash = [sha256.Size]byte(raw)
 	}
 	c.Services = map[string]bool{}
-	for _, name := range s.List("services") {
+	for _, name := range s.Names("services") {
 		c.Services[name] = true
 	}
 	c.Rate = s.Float("rate-per-second", 0, 0, 1e6)
 }
 
 func readTarget(t *release.Target, s *inifile.Section) {
-	t.Address = s.Required("address")
-	t.Zone = s.Required("availability-zone")
-	t.Service = s.Required("service")
+	t.Address = s.Address("address")
+	t.Zone = s.RequiredName("availability-zone")
+	t.Service = s.RequiredName("service")
 	t.Slots = s.Int("slots", 1, 1, 10_000)
 	t.Connections = s.Int("connections", 25, 1, 100_000)
 	t.ColdBudget = s.Int("cold-budget", 1, 1, 10_000)
@@ -175,7 +218,7 @@
 	}
 	version, layout, ok := strings.Cut(names[1], "/")
 	number, err := strconv.ParseUint(version, 10, 64)
-	if !ok || err != nil || layout == "" {
+	if !ok || err != nil || !inifile.IsName(layout) || !inifile.IsName(names[0]) {
 		return false
 	}
 	item.Snapshot = &release.Snapshot{Service: names[0], Version: number, Layout: layout}
@@ -193,9 +236,13 @@
 		s.Fault("shards", "is required")
 	}
 	for i := range min(max(count, 0), maxShards) {
+		if !s.Has(fmt.Sprintf("replicas.%d", i)) {
+			s.Fault(fmt.Sprintf("replicas.%d", i), "is required")
+			return
+		}
 		shard := release.Shard{
 			Weight:   s.Float(fmt.Sprintf("weight.%d", i), 1, 0, 1e9),
-			Replicas: s.List(fmt.Sprintf("replicas.%d", i)),
+			Replicas: s.Names(fmt.Sprintf("replicas.%d", i)),
 		}
 		if len(shard.Replicas) == 0 {
 			s.Fault(fmt.Sprintf("replicas.%d", i), "is required")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"pollentack.example/pollentack/internal/inifile"
@@ -64,8 +66,6 @@
 	File     string
 }
 
-const knownSections = "host, listen, platform, limits, policy, log, trace"
-
 // Default returns the settings of an empty file; name and addresses are missing.
 func Default() *Settings {
 	s, _ := Parse("default", nil)
@@ -85,44 +85,71 @@
 func Parse(name string, text []byte) (*Settings, error) {
 	f := inifile.Parse(name, text)
 	s := &Settings{}
-	readers := map[string]func(*inifile.Section){
-		"host":     s.readHost,
-		"listen":   s.readListen,
-		"platform": s.readPlatform,
-		"limits":   s.readLimits,
-		"policy":   s.readPolicy,
-		"log":      s.readLog,
-		"trace":    s.readTrace,
+	readers := []sectionReader{
+		{"host", s.readHost},
+		{"listen", s.readListen},
+		{"platform", s.readPlatform},
+		{"limits", s.readLimits},
+		{"policy", s.readPolicy},
+		{"log", s.readLog},
+		{"trace", s.readTrace},
 	}
-	for _, section := range f.Sections {
-		read, ok := readers[section.Name]
-		if !ok {
-			f.Unknown(section, knownSections)
-			continue
+	for _, reader := range readers {
+		section := f.Section(reader.name)
+		if section == nil {
+			section = inifile.Empty(f, reader.name)
 		}
-		read(section)
+		reader.read(section)
 		section.RejectUnused()
-		delete(readers, section.Name)
 	}
-	for section, read := range readers {
-		read(inifile.Empty(f, section))
+	for _, section := range f.Sections {
+		if !slices.ContainsFunc(readers, func(r sectionReader) bool { return r.name == section.Name }) {
+			f.Unknown(section, sectionNames(readers))
+		}
 	}
 	return s, f.Err()
 }
 
+// sectionReader reads one section, which may be empty.
+type sectionReader struct {
+	name string
+	read func(*inifile.Section)
+}
+
+func sectionNames(readers []sectionReader) string {
+	names := make([]string, len(readers))
+	for i, r := range readers {
+		names[i] = r.name
+	}
+	return strings.Join(names, ", ")
+}
+
 func (s *Settings) readHost(sec *inifile.Section) {
-	s.Host.Name = sec.Required("name")
-	s.Host.Zone = sec.Required("availability-zone")
+	s.Host.Name = sec.RequiredName("name")
+	s.Host.Zone = sec.RequiredName("availability-zone")
 }
 
 func (s *Settings) readListen(sec *inifile.Section) {
-	s.Listen.Front = sec.Required("front")
-	s.Listen.Admin = sec.Required("admin")
-	s.Listen.Mesh = sec.Text("mesh", "")
+	s.Listen.Front = sec.Address("front")
+	s.Listen.Admin = sec.Address("admin")
+	s.Listen.Mesh = sec.OptionalAddress("mesh")
+	rejectRepeated(sec, "front", "admin", "mesh")
+}
+
+// rejectRepeated adds a fault for a listener on the address of an earlier one.
+func rejectRepeated(sec *inifile.Section, keys ...string) {
+	owner := map[string]string{}
+	for _, key := range keys {
+		address := sec.Text(key, "")
+		if first, taken := owner[address]; taken && address != "" {
+			sec.Fault(key, "repeats the address of %s; allowed is one of its own", first)
+		}
+		owner[address] = key
+	}
 }
 
 func (s *Settings) readPlatform(sec *inifile.Section) {
-	s.Platform.Address = sec.Required("address")
+	s.Platform.Address = sec.Address("address")
 	s.Platform.Poll = sec.Duration("poll", 10*time.Second, 100*time.Millisecond, time.Minute)
 }
 
@@ -143,6 +170,12 @@
 
 func (s *Settings) readTrace(sec *inifile.Section) {
 	s.Trace.Exporter = sec.Choice("exporter", "none", "none", "otlp", "file")
-	s.Trace.Address = sec.Text("address", "")
+	s.Trace.Address = sec.OptionalAddress("address")
 	s.Trace.File = sec.Text("file", "")
+	switch {
+	case s.Trace.Exporter == "otlp" && s.Trace.Address == "":
+		sec.Address("address")
+	case s.Trace.Exporter == "file" && s.Trace.File == "":
+		sec.Required("file")
+	}
 }
