Run a request at most once: tickets, their table and the engine's part

Cause: a caller that resends a fee charge through another host must not have it run twice, and "not run" must be true for the ticket, not only for one copy of the request. Ruled out: expiry by the wall clock (a step back re-opens a ticket), refusals by hosts that do not hold the ticket, and refusals that leave the ticket open (a delayed copy runs after the caller was told "not run"). Change: core/once holds the records; the engine mints, runs, forwards and hands over. An export freezes the table before any chunk leaves, so one process decides at a time.

--- a/internal/core/engine/effect.go
+++ b/internal/core/engine/effect.go
@@ -49,6 +49,7 @@
 	// Facts and Convictions are new first-hand knowledge for the peers.
 	Facts       []TargetFact
 	Convictions []Conviction
+	OnceEffects
 }
 
 // Reset empties the effects and keeps their memory.
@@ -63,4 +64,5 @@
 	fx.Answers = fx.Answers[:0]
 	fx.Facts = fx.Facts[:0]
 	fx.Convictions = fx.Convictions[:0]
+	fx.resetOnce()
 }
--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"pollentack.example/pollentack/internal/core/clock"
+	"pollentack.example/pollentack/internal/core/once"
 	"pollentack.example/pollentack/internal/core/query"
 	"pollentack.example/pollentack/internal/core/release"
 	"pollentack.example/pollentack/internal/core/result"
@@ -29,6 +30,8 @@
 	MaxQueries int
 	// Hedge sends a second attempt to another replica when the first is late.
 	Hedge bool
+	// Once bounds the requests that run at most once.
+	Once once.Config
 }
 
 // Counters are totals since the start, for metrics.
@@ -57,6 +60,7 @@
 	draining bool
 	isolated bool
 	counters Counters
+	once     onceState
 }
 
 // plan is a snapshot's replicas by target ID.
@@ -73,6 +77,7 @@
 		queries: map[query.ID]*query.Query{},
 		byKey:   map[uint64]query.ID{},
 		waiting: map[string][]query.AttemptID{},
+		once:    newOnceState(&cfg.Once),
 	}
 }
 
@@ -96,7 +101,10 @@
 		e.peerFacts(ev)
 	case *Isolation:
 		e.isolated = ev.Isolated
+	default:
+		e.stepOnce(now, ev, fx)
 	}
+	e.resumeRuns(now, fx)
 }
 
 // Advance ends what is due at now.
@@ -106,6 +114,10 @@
 		if !ok {
 			return
 		}
+		if t.kind == timerOnceRun || t.kind == timerOnceCall {
+			e.onceDue(t, fx)
+			continue
+		}
 		q, ok := e.queries[t.query]
 		if !ok {
 			continue
@@ -122,8 +134,8 @@
 // NextWake returns when Advance must next be called, and false for never.
 func (e *Engine) NextWake() (time.Duration, bool) { return e.timers.next() }
 
-// InProgress returns the number of queries in progress.
-func (e *Engine) InProgress() int { return len(e.queries) }
+// InProgress returns the number of requests in progress.
+func (e *Engine) InProgress() int { return len(e.queries) + e.once.inProgress() }
 
 // Draining reports whether the engine refuses new work for a graceful shutdown.
 func (e *Engine) Draining() bool { return e.draining }
@@ -141,6 +153,7 @@
 	e.state = s
 	e.targets.Apply(s)
 	e.plans = map[*release.Snapshot]plan{}
+	e.planRuns(s)
 	for _, svc := range s.Services {
 		for _, snap := range svc.Snapshots {
 			e.plans[snap] = e.planOf(snap)
--- /dev/null
+++ b/internal/core/engine/once.go
@@ -0,0 +1,239 @@
+package engine
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"time"
+
+	"pollentack.example/pollentack/internal/core/clock"
+	"pollentack.example/pollentack/internal/core/once"
+	"pollentack.example/pollentack/internal/core/query"
+	"pollentack.example/pollentack/internal/core/result"
+	"pollentack.example/pollentack/internal/core/target"
+)
+
+const (
+	// defaultOnceTimeout bounds a request whose service is not known on this host.
+	defaultOnceTimeout = 5 * time.Second
+	// homeGrace lets the reply of a target arrive before the home gives up on it.
+	homeGrace = 200 * time.Millisecond
+	// forwardGrace lets the home give up before the host that forwarded does.
+	forwardGrace = 500 * time.Millisecond
+)
+
+// onceState is the engine's part for requests that run at most once.
+type onceState struct {
+	table *once.Table
+	calls map[uint64]*onceCall
+	runs  map[uint64]*onceRun
+	// queue holds the runs that wait for room at a target, oldest first.
+	queue   []uint64
+	nextRun uint64
+	targets map[string][]target.ID
+	handing handingOver
+}
+
+// onceCall is one caller or peer that waits for an answer.
+type onceCall struct {
+	req      *OnceRequest
+	deadline time.Duration
+	// hops are the peers still to be asked.
+	hops   []string
+	parked bool
+}
+
+func newOnceState(cfg *once.Config) onceState {
+	return onceState{
+		table:   once.NewTable(*cfg),
+		calls:   map[uint64]*onceCall{},
+		runs:    map[uint64]*onceRun{},
+		handing: handingOver{chunks: map[uint64]*offer{}},
+	}
+}
+
+func (s *onceState) inProgress() int { return len(s.calls) + len(s.runs) }
+
+// Tickets gives read access to the table of tickets for status reports.
+func (e *Engine) Tickets() *once.Table { return e.once.table }
+
+func (e *Engine) stepOnce(now clock.Instant, ev Event, fx *Effects) {
+	switch ev := ev.(type) {
+	case *TicketRequest:
+		e.mint(now, ev, fx)
+	case *OnceSubmit:
+		e.submitOnce(now, ev.Request, fx)
+	case *RunReply:
+		e.runReply(now, ev, fx)
+	case *Forwarded:
+		e.forwarded(ev, fx)
+	case *HandOver:
+		e.handOver(now, ev, fx)
+	case *HandoverDone:
+		e.handoverDone(now, ev, fx)
+	case *TakeOver:
+		e.takeOver(now, ev, fx)
+	}
+}
+
+func (e *Engine) mint(now clock.Instant, req *TicketRequest, fx *Effects) {
+	answer := OnceAnswer{Key: req.Key}
+	ticket, err := e.mintTicket(now, req)
+	if err != nil {
+		e.counters.Refusals++
+		answer.Code, answer.Detail = err.Code, err.Detail
+	} else {
+		answer.Ticket = &ticket
+	}
+	fx.OnceAnswers = append(fx.OnceAnswers, answer)
+}
+
+func (e *Engine) mintTicket(now clock.Instant, req *TicketRequest) (once.Ticket, *result.Error) {
+	svc, err := e.admit(&query.Request{Key: req.Key, KeyHash: req.KeyHash, Service: req.Service})
+	if err != nil {
+		return once.Ticket{}, err
+	}
+	if !svc.Once {
+		return once.Ticket{}, &result.Error{Code: result.BadRequest, Detail: fmt.Sprintf("service %q takes no tickets", svc.Name)}
+	}
+	return e.once.table.Mint(now, svc.Name, e.state.CallerByKeyHash(req.KeyHash).Name)
+}
+
+// submitOnce takes one presentation of a ticket. From here on only the host that holds
+// the ticket may say "not run": an earlier copy of the request may have reached it.
+func (e *Engine) submitOnce(now clock.Instant, req *OnceRequest, fx *Effects) {
+	switch {
+	case req.Ticket == nil:
+		fx.OnceAnswers = append(fx.OnceAnswers, OnceAnswer{Key: req.Key, Code: result.TicketMissing, Detail: "get a ticket first"})
+		return
+	case e.state == nil:
+		fx.OnceAnswers = append(fx.OnceAnswers, OnceAnswer{Key: req.Key, Code: result.OutcomeUnknown, Detail: "no configuration in force"})
+		return
+	case len(e.once.calls) >= e.cfg.MaxQueries:
+		fx.OnceAnswers = append(fx.OnceAnswers, OnceAnswer{Key: req.Key, Code: result.OutcomeUnknown, Detail: "too many requests wait on this host; send it again"})
+		return
+	}
+	call := &onceCall{req: req, deadline: now.Mono + e.onceTimeout(req) + homeGrace}
+	if !e.once.table.Holds(req.Ticket.Ref) {
+		call.deadline += forwardGrace
+	}
+	e.once.calls[req.Key] = call
+	e.timers.arm(timer{due: call.deadline, query: query.ID(req.Key), kind: timerOnceCall})
+	e.routeOnce(now, call, fx)
+}
+
+func (e *Engine) onceTimeout(req *OnceRequest) time.Duration {
+	timeout := defaultOnceTimeout
+	if svc, ok := e.state.Services[req.Service]; ok {
+		timeout = svc.Policy.Deadline
+	}
+	if req.Timeout > 0 {
+		timeout = min(timeout, req.Timeout)
+	}
+	return timeout
+}
+
+// routeOnce brings a call to the host that decides on its ticket.
+func (e *Engine) routeOnce(now clock.Instant, call *onceCall, fx *Effects) {
+	ref := call.req.Ticket.Ref
+	held := e.once.table.Holds(ref)
+	switch {
+	case e.once.handing.inProgress() && (held || e.once.table.HandedOver(ref)):
+		call.parked = true
+	case held:
+		e.useTicket(now, call.req, fx)
+	case call.req.Forwarded:
+		e.answerOnce(call.req.Key, &OnceAnswer{Code: result.HomeGone, Detail: "this host does not hold the ticket", NotHeld: true}, fx)
+	default:
+		call.hops = e.holders(ref)
+		e.forwardNext(call, fx)
+	}
+}
+
+// holders lists the peers that may hold a ticket, in the order in which they are asked.
+func (e *Engine) holders(ref once.Ref) []string {
+	candidates := append([]string{ref.Home}, once.Successors(ref.Home, e.state.Hosts)...)
+	hops := candidates[:0]
+	for _, host := range candidates {
+		if host != e.cfg.Host {
+			hops = append(hops, host)
+		}
+	}
+	return hops
+}
+
+// forwardNext asks the next peer. Asking another after a lost call is safe: at most
+// one process holds the ticket, and the others say that they do not.
+func (e *Engine) forwardNext(call *onceCall, fx *Effects) {
+	if len(call.hops) == 0 {
+		e.answerOnce(call.req.Key, &OnceAnswer{Code: result.HomeGone, Detail: "neither the ticket's home nor a successor of it was reached"}, fx)
+		return
+	}
+	host := call.hops[0]
+	call.hops = call.hops[1:]
+	fx.Forwards = append(fx.Forwards, Forward{Key: call.req.Key, Host: host, Request: call.req, Deadline: call.deadline})
+}
+
+func (e *Engine) forwarded(ev *Forwarded, fx *Effects) {
+	call, ok := e.once.calls[ev.Key]
+	if !ok {
+		return
+	}
+	if ev.Answer == nil || ev.Answer.NotHeld {
+		e.forwardNext(call, fx)
+		return
+	}
+	e.answerOnce(ev.Key, ev.Answer, fx)
+}
+
+// useTicket decides on a ticket that this host holds.
+func (e *Engine) useTicket(now clock.Instant, req *OnceRequest, fx *Effects) {
+	caller := e.state.CallerByKeyHash(req.KeyHash)
+	if caller == nil {
+		e.answerOnce(req.Key, &OnceAnswer{Code: result.OutcomeUnknown, Detail: "no caller in force has this key"}, fx)
+		return
+	}
+	ref := req.Ticket.Ref
+	verdict := e.once.table.Begin(now, &once.Use{
+		Ticket:  *req.Ticket,
+		Service: req.Service,
+		Caller:  caller.Name,
+		Body:    sha256.Sum256(req.Body),
+	})
+	if verdict.Action == once.Refuse || verdict.Action == once.Replay {
+		e.answerOutcome(req.Key, &verdict.Outcome, fx)
+		return
+	}
+	if !e.once.table.Wait(ref, req.Key) {
+		e.answerOnce(req.Key, &OnceAnswer{Code: result.OutcomeUnknown, Detail: "too many wait for this request; send it again"}, fx)
+	}
+	if verdict.Action == once.Run {
+		e.startRun(now, req, caller, fx)
+	}
+}
+
+func (e *Engine) answerOutcome(key uint64, o *once.Outcome, fx *Effects) {
+	e.answerOnce(key, &OnceAnswer{Code: o.Code, Detail: o.Detail, Target: o.Target, Output: o.Output}, fx)
+}
+
+// answerOnce ends a call; a second answer to the same call is dropped.
+func (e *Engine) answerOnce(key uint64, a *OnceAnswer, fx *Effects) {
+	if _, ok := e.once.calls[key]; !ok {
+		return
+	}
+	delete(e.once.calls, key)
+	if a.Code != result.OK {
+		e.counters.Refusals++
+	}
+	answer := *a
+	answer.Key = key
+	fx.OnceAnswers = append(fx.OnceAnswers, answer)
+}
+
+// onceDue ends a run that found no target in time, or a call that waited too long.
+func (e *Engine) onceDue(t timer, fx *Effects) {
+	if t.kind == timerOnceRun {
+		e.runDue(uint64(t.query), fx)
+		return
+	}
+	e.answerOnce(uint64(t.query), &OnceAnswer{Code: result.OutcomeUnknown, Detail: "no outcome before the deadline; send it again to learn it"}, fx)
+}
--- /dev/null
+++ b/internal/core/engine/once_test.go
@@ -0,0 +1,160 @@
+package engine
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	onceSchedules = 10_000
+	onceActions   = 60
+	onceSeed      = "20261204"
+)
+
+type rapidChooser struct{ t *rapid.T }
+
+func (c rapidChooser) choose(n int) int { return rapid.IntRange(0, n-1).Draw(c.t, "choice") }
+
+type seededChooser struct{ rng *rand.Rand }
+
+func (c seededChooser) choose(n int) int { return c.rng.IntN(n) }
+
+// TestOnceNeverRunsTwice checks over generated schedules of faults that no ticket runs
+// twice, that "not run" is true and that every answer carries the same outcome.
+func TestOnceNeverRunsTwice(t *testing.T) {
+	setFlag(t, "rapid.checks", "10000")
+	setFlag(t, "rapid.seed", onceSeed)
+	setFlag(t, "rapid.nofailfile", "true")
+	checked := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		checked++
+		s := newOnceSim(rapidChooser{rt})
+		s.runSchedule()
+		if v := s.violation(); v != "" {
+			rt.Fatal(v)
+		}
+		if v := s.leakedSlot(); v != "" {
+			rt.Fatal(v)
+		}
+	})
+	if checked < onceSchedules {
+		t.Fatalf("%d schedules were checked, want %d", checked, onceSchedules)
+	}
+}
+
+// TestOnceUniformSchedules is the same with every choice equally likely, where the
+// property's generator prefers small ones.
+func TestOnceUniformSchedules(t *testing.T) {
+	runs := 0
+	for seed := range uint64(onceSchedules) {
+		s := newOnceSim(seededChooser{rand.New(rand.NewPCG(seed, 0))})
+		s.runSchedule()
+		for _, v := range []string{s.violation(), s.leakedSlot()} {
+			if v != "" {
+				t.Fatalf("seed %d: %s", seed, v)
+			}
+		}
+		for _, ticket := range s.tickets {
+			runs += ticket.runs
+		}
+	}
+	if runs < onceSchedules {
+		t.Fatalf("%d schedules ran only %d requests", onceSchedules, runs)
+	}
+}
+
+func setFlag(t *testing.T, name, value string) {
+	t.Helper()
+	old := flag.Lookup(name).Value.String()
+	if err := flag.Set(name, value); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = flag.Set(name, old) })
+}
+
+// TestRetryAfterLostRunsTwice checks that the schedules find a client that takes a lost
+// connection for "not run".
+func TestRetryAfterLostRunsTwice(t *testing.T) {
+	for seed := range uint64(onceSchedules) {
+		s := newOnceSim(seededChooser{rand.New(rand.NewPCG(seed, 0))})
+		s.retryAfterLost = true
+		s.runSchedule()
+		if s.violation() != "" {
+			return
+		}
+	}
+	t.Fatalf("no violation in %d schedules with retries after lost connections", onceSchedules)
+}
+
+func (s *onceSim) runSchedule() {
+	s.mint(s.hosts[0])
+	for range onceActions {
+		s.act()
+	}
+	for len(s.wire) > 0 {
+		m := s.wire[0]
+		s.wire = s.wire[1:]
+		m.deliver()
+	}
+}
+
+// act does one thing: mostly it moves a message, and now and then it is a fault.
+func (s *onceSim) act() {
+	h := s.hosts[s.choose.choose(len(s.hosts))]
+	switch s.choose.choose(16) {
+	case 0:
+		s.mint(h)
+	case 1, 2, 3:
+		if t := s.anyTicket(); t != nil {
+			s.submit(h, t)
+		}
+	case 4:
+		if t := s.anyTicket(); t != nil {
+			s.submitForged(h, t)
+		}
+	case 5:
+		s.now += time.Duration(s.choose.choose(4)) * simLifetime / 4
+		for _, host := range s.hosts {
+			s.advance(host)
+		}
+	case 6:
+		h.wall += time.Duration(s.choose.choose(5)-2) * simLifetime
+	case 7:
+		s.boot(h)
+	case 8:
+		s.step(h, &HandOver{Force: s.choose.choose(3) == 0})
+	case 9:
+		if h.engine.HandedOver() {
+			s.boot(h)
+		}
+	default:
+		s.moveMessage()
+	}
+}
+
+func (s *onceSim) anyTicket() *simTicket {
+	if len(s.order) == 0 {
+		return nil
+	}
+	return s.tickets[s.order[s.choose.choose(len(s.order))]]
+}
+
+// moveMessage delivers or loses any message in transit: the order is not kept, which
+// stands for paused hosts as well.
+func (s *onceSim) moveMessage() {
+	if len(s.wire) == 0 {
+		return
+	}
+	at := s.choose.choose(len(s.wire))
+	m := s.wire[at]
+	s.wire = append(s.wire[:at:at], s.wire[at+1:]...)
+	if s.choose.choose(8) == 0 {
+		m.lost()
+		return
+	}
+	m.deliver()
+}
--- a/internal/core/engine/timer.go
+++ b/internal/core/engine/timer.go
@@ -12,6 +12,8 @@
 const (
 	timerDeadline timerKind = iota + 1
 	timerHedge
+	timerOnceRun
+	timerOnceCall
 )
 
 type timer struct {
