Widen the fault matrix: requests that may not be repeated, forwards, handovers

Cause: the ticket, forward and handover steps and the check at-most-once had no cell. Change: the world plays the fee service, forwards between hosts, resends and a stopping host's handover; a mutant that runs again what has run turns the check red. Ruled out: keeping the callers' map beside the observer's requests, which let a drawn key miss (a nil caller): the observer's requests are the one list.

--- a/internal/faultmatrix/faults_test.go
+++ b/internal/faultmatrix/faults_test.go
@@ -34,7 +34,7 @@
 	{"target leaving", leave},
 	{"connection refused", refuseBriefly},
 	{"connection lost after the send", func(_ *world, _ *host, t *fakeTarget) { t.spoil = loseReply }},
-	{"reply late", func(_ *world, _ *host, t *fakeTarget) { t.spoil = delayReply(t) }},
+	{"reply late", func(_ *world, _ *host, t *fakeTarget) { t.spoil = delayReply }},
 	{"reply duplicated", func(_ *world, _ *host, t *fakeTarget) { t.spoil = duplicateReply }},
 	{"reply crossed", func(_ *world, _ *host, t *fakeTarget) { t.spoil = crossReply }},
 	{"reply truncated", func(_ *world, _ *host, t *fakeTarget) { t.spoil = loseReply }},
@@ -123,41 +123,34 @@
 	w.after(briefFault, func() { t.down = false })
 }
 
-func loseReply(_ *host, r *engine.Reply) []*engine.Reply {
-	lost := &engine.Reply{Attempt: r.Attempt, Target: r.Target, Outcome: engine.Lost, Elapsed: r.Elapsed}
-	return []*engine.Reply{lost}
+func loseReply(r *engine.Reply) []part {
+	return []part{{reply: &engine.Reply{Attempt: r.Attempt, Target: r.Target, Outcome: engine.Lost, Elapsed: r.Elapsed}}}
 }
 
-func delayReply(t *fakeTarget) func(*host, *engine.Reply) []*engine.Reply {
-	return func(h *host, r *engine.Reply) []*engine.Reply {
-		life := h.life
-		t.w.after(2*queryDeadline, func() { t.handOver(h, life, r) })
-		return nil
-	}
-}
+func delayReply(r *engine.Reply) []part { return []part{{reply: r, delay: 2 * queryDeadline}} }
 
-func duplicateReply(_ *host, r *engine.Reply) []*engine.Reply {
+func duplicateReply(r *engine.Reply) []part {
 	second := *r
-	return []*engine.Reply{r, &second}
+	return []part{{reply: r}, {reply: &second}}
 }
 
 // crossReply gives one attempt's reply to an attempt at another shard; its own
 // connection ends without one.
-func crossReply(_ *host, r *engine.Reply) []*engine.Reply {
+func crossReply(r *engine.Reply) []part {
 	crossed := *r
 	crossed.Attempt.Shard = (r.Attempt.Shard + 1) % 2
-	lost := &engine.Reply{Attempt: r.Attempt, Target: r.Target, Outcome: engine.Lost}
-	return []*engine.Reply{&crossed, lost}
+	return append([]part{{reply: &crossed}}, loseReply(r)...)
 }
 
-func otherSnapshot(_ *host, r *engine.Reply) []*engine.Reply {
-	if r.Outcome != engine.Answered {
-		return []*engine.Reply{r}
+func otherSnapshot(r *engine.Reply) []part {
+	if r.Outcome != engine.Answered || len(r.Hits) == 0 {
+		return []part{{reply: r}}
 	}
+	other := *r
 	body, _ := parseDoc(r.Hits[0].Doc)
-	r.Snapshot.Version += 7
-	r.Hits = hitsOf(r.Snapshot, r.Attempt.Shard, body.body)
-	return []*engine.Reply{r}
+	other.Snapshot.Version += 7
+	other.Hits = hitsOf(other.Snapshot, r.Attempt.Shard, body.body)
+	return []part{{reply: &other}}
 }
 
 // splitFleet cuts the first host off from the others for a while.
@@ -204,9 +197,9 @@
 // waitingAt returns the caller of the host that has waited longest.
 func (w *world) waitingAt(h *host) *caller {
 	for key := uint64(1); key <= w.nextKey; key++ {
-		c := w.callers[key]
-		if r := w.observer.requests[key]; c.host == h && !c.gone && r != nil && r.answers == 0 {
-			return c
+		r := w.observer.requests[key]
+		if r != nil && r.caller.host == h && !r.caller.gone && r.answers == 0 {
+			return r.caller
 		}
 	}
 	return nil
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -23,8 +23,6 @@
 		return "decided within the engine's step that admits; a fault falls before it (admission) or after it (connect)"
 	case stepMerge:
 		return "decided within the engine's step that takes the last reply; a fault falls before it (reply) or after it (answer)"
-	case stepTicket, stepForward, stepHandover:
-		return "not covered by the world yet: proved in internal/core/once"
 	}
 	if s == stepStart && (f.name == "caller gone") {
 		return "a host that starts has no caller yet"
--- a/internal/faultmatrix/mutation_test.go
+++ b/internal/faultmatrix/mutation_test.go
@@ -47,6 +47,7 @@
 	})},
 	{"loses an answer", checkWhole, "straggler", &spoiler{onEffects: loseAnswers(func(h *host) bool { return !h.stopping })}},
 	{"calls what ran not run", checkNotRun, "straggler", &spoiler{onEffects: denyRun}},
+	{"runs again what has run", checkOnce, "straggler", &spoiler{onEvent: denyRunReply}},
 	{"sends to a target that leaves", checkLeaving, "target leaving", redirect(func(t *fakeTarget) bool { return t.leaving })},
 	{"cuts requests at a stop", checkStop, "straggler", &spoiler{onEffects: loseAnswers(func(h *host) bool { return h.stopping })}},
 	{"goes back to an older note", checkConfig, "straggler", &spoiler{onEvent: revert()}},
@@ -62,6 +63,16 @@
 	return ev
 }
 
+// denyRunReply makes the engine take a run for one that the target declined.
+func denyRunReply(_ *host, ev engine.Event) engine.Event {
+	if r, ok := ev.(*engine.RunReply); ok && r.Outcome == engine.Answered {
+		spoiled := *r
+		spoiled.Outcome = engine.Shed
+		return &spoiled
+	}
+	return ev
+}
+
 func inflateCoverage(_ *host, fx *engine.Effects) {
 	for i := range fx.Answers {
 		fx.Answers[i].Coverage = min(1, fx.Answers[i].Coverage) + 1/float64(shardCount)
--- a/internal/faultmatrix/observer_test.go
+++ b/internal/faultmatrix/observer_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/once"
 	"pollentack.example/pollentack/internal/core/release"
 	"pollentack.example/pollentack/internal/core/result"
 )
@@ -68,6 +69,7 @@
 	w          *world
 	requests   map[uint64]*watched
 	byBody     map[string]*watched
+	fees       map[once.Ref]*fee
 	violations []violation
 	cold       map[string]time.Duration
 	leavingAt  map[string]time.Duration
@@ -87,6 +89,7 @@
 		w:         w,
 		requests:  map[uint64]*watched{},
 		byBody:    map[string]*watched{},
+		fees:      map[once.Ref]*fee{},
 		cold:      map[string]time.Duration{},
 		leavingAt: map[string]time.Duration{},
 		zoneOutAt: map[string]time.Duration{},
--- a/internal/faultmatrix/scenario_test.go
+++ b/internal/faultmatrix/scenario_test.go
@@ -92,6 +92,7 @@
 		w.startHost(i)
 	}
 	w.after(loadBegins, w.load)
+	w.after(loadBegins, w.feeLoad)
 	w.after(faultAfter, func() { w.lifeSteps() })
 	w.run(scenarioEnds)
 	w.observer.finish()
@@ -116,6 +117,7 @@
 	w.inject(stepStop, h, nil)
 	h.stopping = true
 	h.deliver(&engine.Drain{})
+	h.deliver(&engine.HandOver{})
 	w.awaitIdle(h, h.life, w.now+stopLimit)
 }
 
@@ -125,7 +127,7 @@
 		if h.life != life {
 			return
 		}
-		idle := h.engine.Draining() && h.engine.InProgress() == 0
+		idle := h.engine.Draining() && h.engine.InProgress() == 0 && h.engine.HandedOver()
 		if !idle && w.now < limit {
 			w.awaitIdle(h, life, limit)
 			return
@@ -171,27 +173,33 @@
 	first := snapshotOf(1, "a", shardCount)
 	for shard := range shardCount {
 		for i, zone := range zones {
-			t := &fakeTarget{
-				w:           w,
-				name:        targetName(shard, i),
-				zone:        zone,
-				shard:       int32(shard),
-				incarnation: 1,
-				held:        map[release.Key]bool{first.Key(): true},
-				running:     map[runKey]bool{},
-			}
-			w.targets[t.name] = t
-			w.names = append(w.names, t.name)
+			t := &fakeTarget{name: targetName(shard, i), zone: zone, shard: int32(shard), held: map[release.Key]bool{first.Key(): true}}
+			w.addTarget(t)
 			n.Items = append(n.Items, release.Item{Op: release.Add, Target: &release.Target{
 				Name: t.name, Address: "127.0.0.1:1", Zone: zone, Service: serviceName,
 				Slots: targetSlots, Connections: 45, ColdBudget: coldBudget,
 			}})
 		}
 	}
+	for i, zone := range zones {
+		w.addTarget(&fakeTarget{name: feeTarget(i), zone: zone})
+	}
+	n.Items = append(n.Items, feeItems()...)
 	n.Items = append(n.Items, release.Item{Op: release.Add, Snapshot: first}, callerItem("caller-1", callerKey))
 	w.publish(n)
 }
 
+func (w *world) addTarget(t *fakeTarget) {
+	t.w = w
+	t.incarnation = 1
+	if t.held == nil {
+		t.held = map[release.Key]bool{}
+	}
+	t.running = map[runKey]bool{}
+	w.targets[t.name] = t
+	w.names = append(w.names, t.name)
+}
+
 func targetName(shard, replica int) string { return fmt.Sprintf("t-%d-%d", shard, replica) }
 
 // snapshotOf spreads the targets over a number of shards: a layout of fewer shards puts
@@ -215,7 +223,7 @@
 	return release.Item{Op: release.Add, Caller: &release.Caller{
 		Name:     name,
 		KeyHash:  sha256.Sum256([]byte(key)),
-		Services: map[string]bool{serviceName: true},
+		Services: map[string]bool{serviceName: true, feeService: true},
 		Rate:     10_000,
 	}}
 }
--- a/internal/faultmatrix/target_test.go
+++ b/internal/faultmatrix/target_test.go
@@ -22,6 +22,8 @@
 type runKey struct {
 	host, life int
 	attempt    query.AttemptID
+	// run is set instead of attempt for a request that may not be repeated.
+	run uint64
 }
 
 func keyOf(h *host, id query.AttemptID) runKey {
@@ -46,7 +48,13 @@
 	slow      bool
 	lying     bool
 	// spoil changes the next reply; nil leaves it.
-	spoil func(h *host, r *engine.Reply) []*engine.Reply
+	spoil func(r *engine.Reply) []part
+}
+
+// part is one message that a spoiled reply becomes.
+type part struct {
+	reply *engine.Reply
+	delay time.Duration
 }
 
 // arrive is the request reaching the target.
@@ -139,14 +147,19 @@
 // reply carries the end of an attempt back to the host.
 func (t *fakeTarget) reply(h *host, life int, r *engine.Reply) {
 	t.w.inject(stepReply, h, t)
-	replies := []*engine.Reply{r}
-	if t.spoil != nil {
-		replies = t.spoil(h, r)
-		t.spoil = nil
+	for _, p := range t.spoiled(r) {
+		t.w.after(networkDelay+p.delay, func() { t.handOver(h, life, p.reply) })
 	}
-	for _, r := range replies {
-		t.w.after(networkDelay, func() { t.handOver(h, life, r) })
+}
+
+// spoiled returns what becomes of a reply, once for each fault that struck.
+func (t *fakeTarget) spoiled(r *engine.Reply) []part {
+	spoil := t.spoil
+	t.spoil = nil
+	if spoil == nil {
+		return []part{{reply: r}}
 	}
+	return spoil(r)
 }
 
 func (t *fakeTarget) handOver(h *host, life int, r *engine.Reply) {
@@ -166,6 +179,9 @@
 // restart is the target's process dying and starting cold; what ran is lost.
 func (t *fakeTarget) restart() {
 	for key := range t.running {
+		if key.run != 0 {
+			continue
+		}
 		h := t.w.hosts[key.host]
 		id := h.engine.Targets().Lookup(t.name)
 		r := &engine.Reply{Attempt: key.attempt, Target: id, Outcome: engine.Lost}
--- a/internal/faultmatrix/world_test.go
+++ b/internal/faultmatrix/world_test.go
@@ -69,7 +69,7 @@
 	platform fakePlatform
 	observer *observer
 	plan     []*injection
-	callers  map[uint64]*caller
+	asked    map[uint64]func(*engine.OnceAnswer)
 	nextKey  uint64
 	// cut holds the pairs of hosts whose link is down.
 	cut map[[2]int]bool
@@ -113,7 +113,7 @@
 	w := &world{
 		rng:     rand.New(rand.NewPCG(seed, 1)),
 		targets: map[string]*fakeTarget{},
-		callers: map[uint64]*caller{},
+		asked:   map[uint64]func(*engine.OnceAnswer){},
 		cut:     map[[2]int]bool{},
 	}
 	w.observer = newObserver(w)
@@ -155,6 +155,7 @@
 		Seed:       uint64(h.index + 1),
 		MaxQueries: 1000,
 		Hedge:      true,
+		Once:       onceConfig(h),
 	})
 	h.control = control.New()
 	life := h.life
@@ -244,6 +245,7 @@
 	for i := range fx.Sends {
 		h.send(fx.Sends[i])
 	}
+	h.carryOutOnce(&fx.OnceEffects)
 	h.spread(fx)
 	h.armWake()
 }
@@ -276,7 +278,6 @@
 		submitted: w.now,
 		deadline:  w.now + queryDeadline,
 	}
-	w.callers[c.key] = c
 	w.inject(stepAdmission, h, nil)
 	w.resend(c, h, service)
 	return c
