Add cold turns, adaptive limits, quotas and the admission queue

Cause: every host's limit was the target's slots, so nine hosts exceeded them; a cold target got the full load from all; admission had no rate, no queue and no criticality. Change: turns by the wall clock with a guard gap (core/target/turn.go), warmth as a state machine (warmth.go), an adaptive limit from a fair share (limit.go), a static connection share, token buckets and a deficit round robin queue (core/admission), and their place in the engine (cold.go, gate.go). The stand-in target can be cold, fall over and refuse connections. Proof: TestColdBudgetHoldsOverAllHosts failed first (requests of a ramped holder met the next incarnation; fixed by comparing the incarnation over new connections). It fails again without the guard gap, without the refusal after the turn's end, and without that comparison. TestColdTargetIsWarmInTime failed first because a holder that learned the new incarnation gave up its turn, and because a shed by a target that is not cold restarted the ramp.

--- /dev/null
+++ b/internal/core/admission/admission_test.go
@@ -0,0 +1,118 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestBucketKeepsTheRate(t *testing.T) {
+	var b Bucket
+	const rate = 10.0
+	taken := 0
+	for now := time.Duration(0); now < 100*time.Second; now += 10 * time.Millisecond {
+		if b.Take(now, rate) {
+			taken++
+		}
+	}
+	if most := int(rate*(100+burstTime.Seconds())) + 1; taken > most || taken < 1000 {
+		t.Errorf("%d requests in 100 s at 10 a second", taken)
+	}
+}
+
+func TestBucketCreditsNoMoreThanABurstForAPause(t *testing.T) {
+	var b Bucket
+	const rate = 10.0
+	for b.Take(0, rate) {
+	}
+	taken := 0
+	for b.Take(time.Hour, rate) {
+		taken++
+	}
+	if taken != int(rate*burstTime.Seconds()) {
+		t.Errorf("%d requests at once after an hour's pause", taken)
+	}
+}
+
+func TestShareOverHosts(t *testing.T) {
+	if Share(90, 9) != 10 || Share(90, 0) != 90 {
+		t.Errorf("shares %v and %v", Share(90, 9), Share(90, 0))
+	}
+	var b Bucket
+	for range 1000 {
+		if !b.Take(0, 0) {
+			t.Fatal("a caller without a rate is limited")
+		}
+	}
+}
+
+func push(q *Queue[int], caller string, cost int) {
+	q.Push(Waiter[int]{Caller: caller, Cost: cost, Hopeless: time.Hour})
+}
+
+// TestOneOfAThousandCallersStarvesNobody floods the queue from one caller.
+func TestOneOfAThousandCallersStarvesNobody(t *testing.T) {
+	q := NewQueue[int]()
+	for range 5000 {
+		push(q, "flood", 4)
+	}
+	const others = 999
+	for i := range others {
+		push(q, fmt.Sprintf("caller-%d", i), 4)
+	}
+	served := map[string]int{}
+	for range others + 1 {
+		w, _ := q.Pop()
+		served[w.Caller]++
+	}
+	if len(served) != others+1 || served["flood"] != 1 {
+		t.Errorf("%d callers served in a round, the flood %d times", len(served), served["flood"])
+	}
+}
+
+func TestDearRequestsTakeFewerTurns(t *testing.T) {
+	q := NewQueue[int]()
+	for range 100 {
+		push(q, "dear", 8)
+		push(q, "cheap", 1)
+	}
+	cost := map[string]int{}
+	for range 90 {
+		w, _ := q.Pop()
+		cost[w.Caller] += w.Cost
+	}
+	if d := cost["dear"] - cost["cheap"]; d < -8 || d > 16 {
+		t.Errorf("cost served: dear %d, cheap %d", cost["dear"], cost["cheap"])
+	}
+}
+
+func TestEvictTakesTheNewestOfTheLongest(t *testing.T) {
+	q := NewQueue[int]()
+	for i := range 3 {
+		q.Push(Waiter[int]{Caller: "long", Cost: 1, Value: i})
+	}
+	push(q, "short", 1)
+	w, ok := q.Evict()
+	if !ok || w.Caller != "long" || w.Value != 2 || q.Len() != 3 {
+		t.Errorf("evicted %+v, %d left", w, q.Len())
+	}
+}
+
+func TestRemoveKeepsTheRestInOrder(t *testing.T) {
+	q := NewQueue[int]()
+	for i := range 6 {
+		q.Push(Waiter[int]{Caller: "a", Cost: 1, Value: i})
+	}
+	removed := q.Remove(func(w *Waiter[int]) bool { return w.Value%2 == 0 })
+	if len(removed) != 3 || q.LenOf("a") != 3 {
+		t.Fatalf("%d removed, %d left", len(removed), q.LenOf("a"))
+	}
+	for _, want := range []int{1, 3, 5} {
+		if w, _ := q.Pop(); w.Value != want {
+			t.Errorf("popped %d, want %d", w.Value, want)
+		}
+	}
+	if _, ok := q.Pop(); ok || q.Len() != 0 {
+		t.Error("the queue is not empty")
+	}
+}
--- a/internal/core/engine/admit.go
+++ b/internal/core/engine/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"pollentack.example/pollentack/internal/core/clock"
 	"pollentack.example/pollentack/internal/core/query"
@@ -10,9 +11,12 @@
 	"pollentack.example/pollentack/internal/core/target"
 )
 
-// submit admits a request and starts its query, or refuses it as not run.
+// submit admits a request and starts its query, lets it wait, or refuses it as not run.
 func (e *Engine) submit(now clock.Instant, req *query.Request, fx *Effects) {
-	svc, err := e.admit(req)
+	caller, svc, err := e.admit(req)
+	if err == nil {
+		err = e.takeToken(now, caller)
+	}
 	if err != nil {
 		e.refuse(req.Key, err.Code, err.Detail, fx)
 		return
@@ -22,34 +26,43 @@
 		e.refuse(req.Key, result.NoReplica, fmt.Sprintf("service %q has no servable snapshot", svc.Name), fx)
 		return
 	}
-	e.start(now, req, svc, snap, fx)
+	w := &waiter{req: req, arrived: now.Mono, deadline: now.Mono + timeoutOf(req, svc)}
+	if e.mayStart(now, svc, snap) && e.gate.waitingFor(svc.Name) == 0 {
+		e.start(now, w, svc, snap, fx)
+		return
+	}
+	e.enqueue(now, caller, svc, snap, w, fx)
+}
+
+func timeoutOf(req *query.Request, svc *release.Service) time.Duration {
+	if req.Timeout > 0 && req.Timeout < svc.Policy.Deadline {
+		return req.Timeout
+	}
+	return svc.Policy.Deadline
 }
 
-func (e *Engine) admit(req *query.Request) (*release.Service, *result.Error) {
+func (e *Engine) admit(req *query.Request) (*release.Caller, *release.Service, *result.Error) {
 	if e.state == nil {
-		return nil, &result.Error{Code: result.NotReady, Detail: "no configuration in force"}
+		return nil, nil, &result.Error{Code: result.NotReady, Detail: "no configuration in force"}
 	}
 	if e.draining {
-		return nil, &result.Error{Code: result.Draining, Detail: "host is stopping"}
+		return nil, nil, &result.Error{Code: result.Draining, Detail: "host is stopping"}
 	}
 	if e.isolated {
-		return nil, &result.Error{Code: result.Isolated, Detail: "neither the platform nor a peer is reached"}
+		return nil, nil, &result.Error{Code: result.Isolated, Detail: "neither the platform nor a peer is reached"}
 	}
 	caller := e.state.CallerByKeyHash(req.KeyHash)
 	if caller == nil {
-		return nil, &result.Error{Code: result.CallerUnknown, Detail: "no caller has this key"}
+		return nil, nil, &result.Error{Code: result.CallerUnknown, Detail: "no caller has this key"}
 	}
 	svc, ok := e.state.Services[req.Service]
 	if !ok {
-		return nil, &result.Error{Code: result.ServiceUnknown, Detail: fmt.Sprintf("service %q is not in force", req.Service)}
+		return nil, nil, &result.Error{Code: result.ServiceUnknown, Detail: fmt.Sprintf("service %q is not in force", req.Service)}
 	}
 	if !caller.Services[req.Service] {
-		return nil, &result.Error{Code: result.CallerForbidden, Detail: fmt.Sprintf("caller %q may not use service %q", caller.Name, req.Service)}
+		return nil, nil, &result.Error{Code: result.CallerForbidden, Detail: fmt.Sprintf("caller %q may not use service %q", caller.Name, req.Service)}
 	}
-	if len(e.queries) >= e.cfg.MaxQueries {
-		return nil, &result.Error{Code: result.QueueFull, Detail: "too many queries in progress"}
-	}
-	return svc, nil
+	return caller, svc, nil
 }
 
 // chooseSnapshot returns the newest snapshot whose every shard has a usable replica,
@@ -78,11 +91,8 @@
 	return n
 }
 
-func (e *Engine) start(now clock.Instant, req *query.Request, svc *release.Service, snap *release.Snapshot, fx *Effects) {
-	timeout := svc.Policy.Deadline
-	if req.Timeout > 0 && req.Timeout < timeout {
-		timeout = req.Timeout
-	}
+func (e *Engine) start(now clock.Instant, w *waiter, svc *release.Service, snap *release.Snapshot, fx *Effects) {
+	req := w.req
 	e.nextID++
 	q := &query.Query{
 		ID:       e.nextID,
@@ -90,13 +100,14 @@
 		Policy:   svc.Policy,
 		Snapshot: snap,
 		Replicas: e.plans[snap],
-		Started:  now.Mono,
-		Deadline: now.Mono + timeout,
+		Started:  w.arrived,
+		Deadline: w.deadline,
 		Slots:    make([]query.Slot, len(snap.Shards)),
 	}
 	e.queries[q.ID] = q
 	e.byKey[req.Key] = q.ID
 	e.counters.Queries++
+	e.gate.started(q.ID, svc.Name, now.Mono)
 	e.timers.arm(timer{due: q.Deadline, query: q.ID, kind: timerDeadline})
 	e.scatter(now, q, fx)
 }
--- a/internal/core/engine/effect.go
+++ b/internal/core/engine/effect.go
@@ -18,6 +18,16 @@
 	Request  *query.Request
 	// Deadline is on the monotonic clock; the target is told what is left of it.
 	Deadline time.Duration
+	// NotAfter is the wall-clock time after which a cold target must refuse the request,
+	// 0 for a warm one.
+	NotAfter time.Duration
+	// Incarnation is the target's incarnation as the host knows it, 0 for unknown.
+	Incarnation uint64
+	// Check asks to compare it with the health endpoint's before the request goes out on
+	// a new connection.
+	Check bool
+	// Quota is this host's share of the target's connections.
+	Quota int
 }
 
 // Cancel asks a target to give up an attempt that has lost.
--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -29,6 +29,10 @@
 	MaxQueries int
 	// Hedge sends a second attempt to another replica when the first is late.
 	Hedge bool
+	// Targets selects the baselines of limits, warm-up and selection.
+	Targets target.Options
+	// Queue bounds the admitted requests that wait; 0 admits without a queue.
+	Queue int
 }
 
 // Counters are totals since the start, for metrics.
@@ -57,6 +61,8 @@
 	draining bool
 	isolated bool
 	counters Counters
+	gate     gate
+	turnDue  bool
 }
 
 // plan is a snapshot's replicas by target ID.
@@ -65,7 +71,7 @@
 // New returns an engine that refuses everything until a Release event.
 func New(cfg Config) *Engine {
 	rng := rand.New(rand.NewPCG(cfg.Seed, 0))
-	return &Engine{
+	e := &Engine{
 		cfg:     cfg,
 		rng:     rng,
 		plans:   map[*release.Snapshot]plan{},
@@ -73,12 +79,15 @@
 		queries: map[query.ID]*query.Query{},
 		byKey:   map[uint64]query.ID{},
 		waiting: map[string][]query.AttemptID{},
+		gate:    newGate(cfg.Queue),
 	}
+	e.targets.Configure(cfg.Targets)
+	return e
 }
 
 // Step handles one event.
 func (e *Engine) Step(now clock.Instant, ev Event, fx *Effects) {
-	e.Advance(now, fx)
+	e.advance(now, fx)
 	switch ev := ev.(type) {
 	case *Submit:
 		e.submit(now, ev.Request, fx)
@@ -97,15 +106,25 @@
 	case *Isolation:
 		e.isolated = ev.Isolated
 	}
+	e.afterStep(now, fx)
 }
 
 // Advance ends what is due at now.
 func (e *Engine) Advance(now clock.Instant, fx *Effects) {
+	e.advance(now, fx)
+	e.afterStep(now, fx)
+}
+
+func (e *Engine) advance(now clock.Instant, fx *Effects) {
+	e.targets.Tick(now)
 	for {
 		t, ok := e.timers.popDue(now.Mono)
 		if !ok {
 			return
 		}
+		if e.ownTimer(now, t, fx) {
+			continue
+		}
 		q, ok := e.queries[t.query]
 		if !ok {
 			continue
@@ -122,8 +141,8 @@
 // NextWake returns when Advance must next be called, and false for never.
 func (e *Engine) NextWake() (time.Duration, bool) { return e.timers.next() }
 
-// InProgress returns the number of queries in progress.
-func (e *Engine) InProgress() int { return len(e.queries) }
+// InProgress returns the number of queries in progress, those that wait included.
+func (e *Engine) InProgress() int { return len(e.queries) + e.gate.size }
 
 // Draining reports whether the engine refuses new work for a graceful shutdown.
 func (e *Engine) Draining() bool { return e.draining }
@@ -146,6 +165,7 @@
 			e.plans[snap] = e.planOf(snap)
 		}
 	}
+	e.gate.release(s, e.targets.Hosts())
 }
 
 func (e *Engine) planOf(snap *release.Snapshot) plan {
@@ -159,20 +179,12 @@
 }
 
 func (e *Engine) health(h *Health) {
-	entry := e.targets.Entry(h.Target)
-	entry.Leaving = entry.Leaving || h.Leaving
+	e.observeHealth(h)
 }
 
 // peerFacts takes hearsay of targets: only a newer incarnation or a departure counts.
 func (e *Engine) peerFacts(ev *PeerFacts) {
-	for _, fact := range ev.Targets {
-		id := e.targets.Lookup(fact.Target)
-		if id == target.None {
-			continue
-		}
-		entry := e.targets.Entry(id)
-		entry.Leaving = entry.Leaving || fact.Leaving
-	}
+	e.hearFacts(ev.Targets)
 }
 
 func (e *Engine) refuse(key uint64, code result.Code, detail string, fx *Effects) {
--- a/internal/core/engine/event.go
+++ b/internal/core/engine/event.go
@@ -88,6 +88,11 @@
 	Leaving     bool
 	Hits        []query.Hit
 	Elapsed     time.Duration
+	// Disconnected tells that a connection to the target was refused or broke.
+	Disconnected bool
+	// ClaimedIncarnation is what the health endpoint said over a new connection, where it
+	// was another than the send's and the request was held back.
+	ClaimedIncarnation uint64
 }
 
 // Health is what a target's health endpoint says; it lags and may mislead.
--- a/internal/core/engine/gather.go
+++ b/internal/core/engine/gather.go
@@ -37,15 +37,6 @@
 	e.resume(now, e.serviceOf(r), fx)
 }
 
-func (e *Engine) observe(r *Reply) {
-	e.targets.Done(r.Target, r.Elapsed, r.Outcome == Answered)
-	entry := e.targets.Entry(r.Target)
-	entry.Leaving = entry.Leaving || r.Leaving
-	if r.Incarnation != 0 {
-		entry.Incarnation = r.Incarnation
-	}
-}
-
 func (e *Engine) serviceOf(r *Reply) string { return e.targets.Entry(r.Target).Spec.Service }
 
 // retry sends the shard to another replica within the budget.
@@ -79,6 +70,7 @@
 	delete(e.queries, q.ID)
 	delete(e.byKey, q.Request.Key)
 	code, detail := verdict(q)
+	e.gate.ended(q.ID, code, now.Mono)
 	answer := Answer{
 		Key:      q.Request.Key,
 		Code:     code,
@@ -118,6 +110,7 @@
 func (e *Engine) callerGone(now clock.Instant, key uint64, fx *Effects) {
 	id, ok := e.byKey[key]
 	if !ok {
+		e.dropQueued(key)
 		return
 	}
 	e.finish(now, e.queries[id], fx)
--- a/internal/core/engine/scatter.go
+++ b/internal/core/engine/scatter.go
@@ -35,14 +35,16 @@
 	e.targets.Sent(id)
 	q.Attempts++
 	try := slot.Begin(id, now.Mono)
-	fx.Sends = append(fx.Sends, Send{
+	send := Send{
 		Attempt:  query.AttemptID{Query: q.ID, Shard: shard, Try: try},
 		Target:   id,
 		Spec:     e.targets.Entry(id).Spec,
 		Snapshot: q.Snapshot,
 		Request:  q.Request,
 		Deadline: q.Deadline,
-	})
+	}
+	e.grant(&send)
+	fx.Sends = append(fx.Sends, send)
 	return true
 }
 
--- a/internal/core/engine/timer.go
+++ b/internal/core/engine/timer.go
@@ -12,6 +12,9 @@
 const (
 	timerDeadline timerKind = iota + 1
 	timerHedge
+	// timerTurn and timerQueue belong to no query.
+	timerTurn
+	timerQueue
 )
 
 type timer struct {
--- a/internal/core/target/table.go
+++ b/internal/core/target/table.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"pollentack.example/pollentack/internal/core/clock"
 	"pollentack.example/pollentack/internal/core/release"
 )
 
@@ -22,10 +23,11 @@
 // Entry is what the host knows of one target.
 type Entry struct {
 	Spec *release.Target
-	// Incarnation is the last one that the target itself reported, 0 before the first.
-	Incarnation uint64
-	InFlight    int
-	Limit       int
+	Warmth
+	Limiter  Limiter
+	InFlight int
+	// Quota is this host's share of the target's connections.
+	Quota int
 	// Latency is the moving average of the target's own reply times.
 	Latency time.Duration
 	// Leaving is set by the first of the note, the host list, a peer or the target itself.
@@ -33,43 +35,105 @@
 	ZoneOut bool
 	// LiveKnown is set once a first-hand reply has arrived.
 	LiveKnown bool
+
+	// claimed is the highest incarnation that only the health endpoint spoke of.
+	claimed uint64
+	// healthLies is set once a reply contradicted the health endpoint.
+	healthLies bool
+	// changed tells that peers have not heard the newest of this entry.
+	changed bool
 }
 
 // Usable reports whether the target may take new work.
 func (e *Entry) Usable() bool { return !e.Leaving && !e.ZoneOut }
 
-// HasRoom reports whether one more request fits under the target's limit.
-func (e *Entry) HasRoom() bool { return e.InFlight < e.Limit }
+// Options are what a host's settings say to its table.
+type Options struct {
+	// Host is this host's name in the published list.
+	Host string
+	// StaticLimit keeps every limit at the target's slots.
+	StaticLimit bool
+	// NoWarmUp treats cold targets as warm.
+	NoWarmUp bool
+	// RoundRobin takes replicas in turn in place of the better of two.
+	RoundRobin bool
+}
 
 // Table holds the entries of all targets in force.
 type Table struct {
+	options Options
 	entries []Entry
 	byName  map[string]ID
 	rng     *rand.Rand
+	now     clock.Instant
+	roster  roster
+	// cold holds the targets that are cold, and some that have become warm.
+	cold map[ID]bool
+	// news lists the targets of which peers have not heard the newest.
+	news    []ID
+	applied bool
+	next    int
 }
 
 // NewTable returns an empty table that draws its choices from rng.
 func NewTable(rng *rand.Rand) *Table {
-	return &Table{byName: map[string]ID{}, rng: rng}
+	return &Table{byName: map[string]ID{}, rng: rng, cold: map[ID]bool{}}
+}
+
+// Configure takes the options; it is called before the first Apply.
+func (t *Table) Configure(o Options) {
+	t.options = o
+	t.roster.self = o.Host
 }
 
+// Tick tells the table the instant of the step. All later calls are at that instant.
+func (t *Table) Tick(now clock.Instant) { t.now = now }
+
 // Apply brings the table in line with the state: entries of targets that stay keep
 // what is known of them.
 func (t *Table) Apply(s *release.State) {
+	t.roster.update(t.now, hostNames(s))
 	for name, id := range t.byName {
 		if _, ok := s.Targets[name]; !ok {
 			delete(t.byName, name)
+			delete(t.cold, id)
 			t.entries[id].Leaving = true
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.Targets)) {
-		spec := s.Targets[name]
-		e := t.Entry(t.intern(name))
-		e.Spec = spec
-		e.Limit = spec.Slots
-		e.Leaving = e.Leaving || spec.Leaving
-		e.ZoneOut = s.ZoneOut(spec.Zone)
+		_, known := t.byName[name]
+		id := t.intern(name)
+		t.applySpec(id, s.Targets[name], s.ZoneOut(s.Targets[name].Zone))
+		if !known && t.applied {
+			t.chill(id)
+		}
 	}
+	t.applied = true
+}
+
+func hostNames(s *release.State) []string {
+	names := make([]string, len(s.Hosts))
+	for i := range s.Hosts {
+		names[i] = s.Hosts[i].Name
+	}
+	return names
+}
+
+// applySpec takes the published form of a target. One that comes back, alone or with
+// its availability zone, is cold.
+func (t *Table) applySpec(id ID, spec *release.Target, zoneOut bool) {
+	e := t.Entry(id)
+	returns := e.ZoneOut && !zoneOut || e.Spec != nil && e.Spec.Leaving && !spec.Leaving
+	if returns && !spec.Leaving {
+		e.Leaving = false
+		t.chill(id)
+	}
+	e.Spec = spec
+	e.Leaving = e.Leaving || spec.Leaving
+	e.ZoneOut = zoneOut
+	e.Quota = Quota(spec.Connections, t.roster.size())
+	ceiling := min(spec.Slots, searchQuota(e.Quota))
+	e.Limiter.Configure(FairShare(spec.Slots, t.roster.size()), ceiling, !t.options.StaticLimit)
 }
 
 // intern returns the name's ID, and a new one where it has none. IDs are never reused:
@@ -95,6 +159,9 @@
 // Entry returns the entry of id; it is valid until the next Apply.
 func (t *Table) Entry(id ID) *Entry { return &t.entries[id] }
 
+// Hosts returns the number of published hosts, at least 1.
+func (t *Table) Hosts() int { return t.roster.size() }
+
 // Len returns the number of entries, withdrawn ones included.
 func (t *Table) Len() int { return len(t.entries) }
 
@@ -106,7 +173,7 @@
 	if len(replicas) == 0 {
 		return None, false
 	}
-	start := t.rng.IntN(len(replicas))
+	start := t.startOfPick(len(replicas))
 	seen := 0
 	for i := range replicas {
 		r := replicas[(start+i)%len(replicas)]
@@ -115,40 +182,82 @@
 			continue
 		}
 		usable = true
-		if !e.HasRoom() {
+		if !t.hasRoom(r) {
 			continue
 		}
 		if best == None || t.less(e, &t.entries[best]) {
 			best = r
 		}
 		seen++
-		if seen == 2 {
+		if seen == t.choices() {
 			break
 		}
 	}
 	return best, usable
 }
 
-// less reports whether a promises a sooner reply than b.
+func (t *Table) startOfPick(n int) int {
+	if t.options.RoundRobin {
+		t.next++
+		return t.next % n
+	}
+	return t.rng.IntN(n)
+}
+
+func (t *Table) choices() int {
+	if t.options.RoundRobin {
+		return 1
+	}
+	return 2
+}
+
+// less reports whether a promises a sooner reply than b. A cold target with room goes
+// first: only work warms it, and its budget bounds what that costs.
 func (t *Table) less(a, b *Entry) bool {
+	if a.Cold != b.Cold {
+		return a.Cold
+	}
 	costA := time.Duration(a.InFlight+1) * (a.Latency + time.Microsecond)
 	costB := time.Duration(b.InFlight+1) * (b.Latency + time.Microsecond)
 	return costA < costB
 }
 
-// Sent counts one request in progress at id.
-func (t *Table) Sent(id ID) { t.entries[id].InFlight++ }
+// hasRoom reports whether one more request may go to the target now.
+func (t *Table) hasRoom(id ID) bool {
+	e := &t.entries[id]
+	if e.Cold {
+		t.settle(id)
+	}
+	switch {
+	case e.Cold:
+		return e.InFlight < min(t.coldBudget(e), searchQuota(e.Quota))
+	case !e.Heard() && !t.options.NoWarmUp:
+		return e.InFlight == 0
+	}
+	return e.InFlight < e.Limiter.Limit()
+}
 
 // latencyWeight is the share of a new sample in the moving average, as 1/n.
 const latencyWeight = 8
 
+// Sent counts one request in progress at id.
+func (t *Table) Sent(id ID) {
+	e := &t.entries[id]
+	e.InFlight++
+	if e.Cold && e.Hold(t.now, TurnAt(t.now.Wall)) {
+		t.tell(id)
+	}
+}
+
 // Done counts the end of one request at id that took elapsed.
 func (t *Table) Done(id ID, elapsed time.Duration, answered bool) {
 	e := &t.entries[id]
+	inFlight := e.InFlight
 	e.InFlight--
 	if !answered {
 		return
 	}
 	e.LiveKnown = true
 	e.Latency += (elapsed - e.Latency) / latencyWeight
+	e.Limiter.Answered(t.now.Mono, elapsed, inFlight)
 }
--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -34,11 +34,17 @@
 
 // Start listens on address and serves the routes that route adds.
 func Start(address string, limits Limits, route func(*server.Hertz)) (*Server, error) {
-	hlog.SetLevel(hlog.LevelFatal)
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	return Serve(listener, limits, route)
+}
+
+// Serve serves the routes that route adds on a listener, which it closes in the end.
+func Serve(listener net.Listener, limits Limits, route func(*server.Hertz)) (*Server, error) {
+	address := listener.Addr().String()
+	hlog.SetLevel(hlog.LevelFatal)
 	h := server.New(
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
@@ -53,7 +59,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("serve %s: %w", address, err)
 	}
-	s := &Server{address: listener.Addr().String(), hertz: h, group: group}
+	s := &Server{address: address, hertz: h, group: group}
 	err = group.Start(duty.Duty{
 		Name: "http " + s.address,
 		Run:  func() { _ = h.Run() },
--- a/internal/edge/targetclient/client.go
+++ b/internal/edge/targetclient/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
+	errs "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"go.opentelemetry.io/otel/attribute"
@@ -26,6 +27,9 @@
 const (
 	dialTimeout   = time.Second
 	cancelTimeout = time.Second
+	// idleTimeout keeps connections warm between requests; it is under the time after
+	// which targets close idle connections.
+	idleTimeout = 60 * time.Second
 	// replyGrace is how long after the deadline a reply is still awaited: the target
 	// is told the deadline and ends by itself.
 	replyGrace = 50 * time.Millisecond
@@ -39,12 +43,15 @@
 	clock  wallclock.Clock
 	tracer *trace.Tracer
 	http   *client.Client
+	conns  *connections
 }
 
 // New returns a client that names host in its attempts.
 func New(host string, clk wallclock.Clock, tracer *trace.Tracer) (*Client, error) {
+	conns := newConnections()
 	c, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()),
+		client.WithDialer(&countingDialer{Dialer: standard.NewDialer(), conns: conns}),
+		client.WithMaxIdleConnDuration(idleTimeout),
 		client.WithDialTimeout(dialTimeout),
 		client.WithMaxConnsPerHost(maxConnsPerTarget),
 		client.WithKeepAlive(true),
@@ -52,7 +59,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("target client: %w", err)
 	}
-	return &Client{host: host, clock: clk, tracer: tracer, http: c}, nil
+	return &Client{host: host, clock: clk, tracer: tracer, http: c, conns: conns}, nil
 }
 
 // Close drops idle connections.
@@ -62,10 +69,15 @@
 func (c *Client) Do(s *engine.Send) *engine.Reply {
 	begin := c.clock.Now().Mono
 	left := s.Deadline - begin
+	dials := c.conns.acquire(s.Spec.Address, s.Quota)
+	defer c.conns.release(s.Spec.Address)
 	reply := &engine.Reply{Attempt: s.Attempt, Target: s.Target, Outcome: engine.Unreachable}
 	if left <= 0 {
 		return reply
 	}
+	if (s.NotAfter != 0 || dials && s.Check) && !c.checkIncarnation(s, left, reply) {
+		return reply
+	}
 	body, err := json.Marshal(c.searchRequest(s, left))
 	if err != nil {
 		return reply
@@ -76,10 +88,11 @@
 		attribute.Int("try", int(s.Attempt.Try)))
 	call := call{address: s.Spec.Address, path: targetapi.PathSearch, body: body, timeout: left + replyGrace, traceParent: span.Context()}
 	var answer targetapi.SearchReply
-	err = c.post(&call, &answer)
+	err = c.do(&call, &answer)
 	reply.Elapsed = c.clock.Now().Mono - begin
 	if err != nil {
 		reply.Outcome = outcomeOfError(err)
+		reply.Disconnected = !errors.Is(err, errs.ErrTimeout)
 	} else {
 		fill(reply, &answer)
 	}
@@ -88,12 +101,17 @@
 }
 
 // Cancel tells the target that the attempt has lost. A failure costs only its work.
+// It is dropped where the host's share of the target's connections is in use.
 func (c *Client) Cancel(x *engine.Cancel) {
+	if !c.conns.acquireSpare(x.Spec.Address) {
+		return
+	}
+	defer c.conns.release(x.Spec.Address)
 	body, err := json.Marshal(c.ref(x.Attempt))
 	if err != nil {
 		return
 	}
-	_ = c.post(&call{address: x.Spec.Address, path: targetapi.PathCancel, body: body, timeout: cancelTimeout}, nil)
+	_ = c.do(&call{address: x.Spec.Address, path: targetapi.PathCancel, body: body, timeout: cancelTimeout}, nil)
 }
 
 func (c *Client) ref(id query.AttemptID) targetapi.AttemptRef {
@@ -110,6 +128,7 @@
 		Body:           string(s.Request.Body),
 		Limit:          s.Request.Limit,
 		DeadlineMicros: left.Microseconds(),
+		NotAfterMicros: s.NotAfter.Microseconds(),
 	}
 }
 
@@ -122,18 +141,26 @@
 	traceParent string
 }
 
-func (c *Client) post(x *call, into any) error {
+// method is GET for a call without a body.
+func (x *call) method() string {
+	if x.body == nil {
+		return "GET"
+	}
+	return "POST"
+}
+
+func (c *Client) do(x *call, into any) error {
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
-	req.SetMethod("POST")
+	req.SetMethod(x.method())
 	req.SetRequestURI("http://" + x.address + x.path)
 	req.SetBody(x.body)
 	if x.traceParent != "" {
 		req.Header.Set(trace.Header, x.traceParent)
 	}
 	if err := c.http.DoTimeout(context.Background(), req, resp, x.timeout); err != nil {
-		return fmt.Errorf("post %s%s: %w", x.address, x.path, err)
+		return fmt.Errorf("call %s%s: %w", x.address, x.path, err)
 	}
 	if into == nil {
 		return nil
--- /dev/null
+++ b/internal/edge/targetclient/connections.go
@@ -0,0 +1,132 @@
+package targetclient
+
+import (
+	"crypto/tls"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/network"
+
+	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/targetapi"
+)
+
+// connections counts the open and the busy connections to each target.
+type connections struct {
+	mu      sync.Mutex
+	targets map[string]*usage
+}
+
+// usage is the part of one target's address.
+type usage struct {
+	open  int
+	busy  int
+	quota int
+}
+
+func newConnections() *connections { return &connections{targets: map[string]*usage{}} }
+
+func (c *connections) of(address string) *usage {
+	u, ok := c.targets[address]
+	if !ok {
+		u = &usage{}
+		c.targets[address] = u
+	}
+	return u
+}
+
+// acquire counts one busy connection and reports whether a new one must be made for it.
+// The engine's limits keep the number within the quota.
+func (c *connections) acquire(address string, quota int) (dials bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := c.of(address)
+	u.quota = quota
+	u.busy++
+	return u.busy > u.open
+}
+
+// acquireSpare counts one busy connection where the quota has one left.
+func (c *connections) acquireSpare(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := c.of(address)
+	if u.busy >= u.quota {
+		return false
+	}
+	u.busy++
+	return true
+}
+
+func (c *connections) release(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.of(address).busy--
+}
+
+func (c *connections) opened(address string, by int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.of(address).open += by
+}
+
+// Connections returns the number of open connections to a target's address.
+func (c *Client) Connections(address string) int {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if u, ok := c.conns.targets[address]; ok {
+		return u.open
+	}
+	return 0
+}
+
+// countingDialer counts the connections that it makes until they are closed.
+type countingDialer struct {
+	network.Dialer
+	conns *connections
+}
+
+// DialConnection makes a connection that is counted.
+func (d *countingDialer) DialConnection(netw, address string, timeout time.Duration, cfg *tls.Config) (network.Conn, error) {
+	conn, err := d.Dialer.DialConnection(netw, address, timeout, cfg)
+	if err != nil {
+		return nil, err
+	}
+	d.conns.opened(address, 1)
+	return &countedConn{Conn: conn, closed: sync.OnceFunc(func() { d.conns.opened(address, -1) })}, nil
+}
+
+type countedConn struct {
+	network.Conn
+	closed func()
+}
+
+// Close closes the connection and counts it off, once.
+func (c *countedConn) Close() error {
+	c.closed()
+	return c.Conn.Close()
+}
+
+// checkIncarnation asks the health endpoint, over a connection that the request will
+// use, whether the target is the one that the engine knows. Otherwise reply says that
+// the request was held back. A target whose health endpoint fails is not held to it.
+//
+// For a cold target within its published budget only the connection matters: the call is repeated by the HTTP client
+// until it meets one that the target's restart did not break.
+func (c *Client) checkIncarnation(s *engine.Send, left time.Duration, reply *engine.Reply) bool {
+	var health targetapi.HealthReply
+	err := c.do(&call{address: s.Spec.Address, path: targetapi.PathHealth, timeout: left}, &health)
+	if err != nil && outcomeOfError(err) == engine.Unreachable {
+		reply.Disconnected = true
+		return false
+	}
+	if err != nil || !s.Check {
+		return true
+	}
+	if s.Incarnation == 0 && !health.Cold || s.Incarnation == health.Incarnation {
+		return true
+	}
+	reply.Outcome = engine.ColdRefused
+	reply.ClaimedIncarnation = health.Incarnation
+	return false
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,6 +90,7 @@
 		return err
 	}
 	n.queries.dispatch = n.dispatch.put
+	n.queries.connections = client.Connections
 	if err = n.duties.Start(n.dispatch.duty()); err != nil {
 		return err
 	}
--- a/internal/node/queries.go
+++ b/internal/node/queries.go
@@ -34,11 +34,16 @@
 	reserve int
 
 	dispatch func(work) bool
-	deliver  atomic.Pointer[func(*engine.Answer)]
+	// connections returns the number of open connections to an address.
+	connections func(address string) int
+	deliver     atomic.Pointer[func(*engine.Answer)]
 
 	// unsent are replies for sends that the dispatch ring refused.
-	unsent  []*engine.Reply
-	counted atomic.Pointer[engineStatus]
+	unsent []*engine.Reply
+	// targets is what status last said of the targets, at the time targetsAt.
+	targets   []TargetStatus
+	targetsAt time.Duration
+	counted   atomic.Pointer[engineStatus]
 }
 
 // engineStatus is what the duty last published of its engine.
@@ -46,6 +51,9 @@
 	Counters   engine.Counters `json:"counters"`
 	InProgress int             `json:"in_progress"`
 	Draining   bool            `json:"draining"`
+
+	Admission engine.AdmissionCounters `json:"admission"`
+	Targets   []TargetStatus           `json:"targets"`
 }
 
 func newQueries(s *settings.Settings, clk wallclock.Clock) *queries {
@@ -60,8 +68,11 @@
 			Seed:       uint64(s.Policy.Seed),
 			MaxQueries: s.Limits.Queries,
 			Hedge:      s.Policy.Hedge,
+			Queue:      s.Limits.Queue,
+			Targets:    targetOptions(s),
 		}),
 	}
+	q.connections = func(string) int { return 0 }
 	q.setDeliver(func(*engine.Answer) {})
 	q.counted.Store(&engineStatus{})
 	return q
@@ -146,7 +157,13 @@
 }
 
 func (q *queries) publish() {
-	q.counted.Store(&engineStatus{Counters: q.engine.Counters(), InProgress: q.engine.InProgress(), Draining: q.engine.Draining()})
+	q.counted.Store(&engineStatus{
+		Counters:   q.engine.Counters(),
+		InProgress: q.engine.InProgress(),
+		Draining:   q.engine.Draining(),
+		Admission:  q.engine.Admission(),
+		Targets:    q.targetStatuses(),
+	})
 }
 
 // awaitIdle blocks until a draining engine has no query in progress.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -17,6 +17,9 @@
 	Counters      engine.Counters     `json:"counters"`
 	Rings         []ring.Stats        `json:"rings"`
 	PlatformCalls uint64              `json:"platform_calls"`
+
+	Admission engine.AdmissionCounters `json:"admission"`
+	Targets   []TargetStatus           `json:"targets,omitempty"`
 }
 
 // Status returns the host's status at this moment.
@@ -33,5 +36,7 @@
 		Counters:      q.Counters,
 		Rings:         []ring.Stats{n.queries.inbox.Stats(), n.dispatch.inbox.Stats(), n.control.inbox.Stats()},
 		PlatformCalls: n.reader.Calls(),
+		Admission:     q.Admission,
+		Targets:       q.Targets,
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,7 +43,9 @@
 
 // Limits bound what the host holds.
 type Limits struct {
-	Queries     int
+	Queries int
+	// Queue is the number of admitted queries that may wait, 0 for no queue.
+	Queue       int
 	BodyBytes   int
 	Connections int
 }
@@ -52,6 +54,10 @@
 type Policy struct {
 	Hedge bool
 	Seed  int
+	// StaticLimit, NoWarmUp and RoundRobin select baselines of package target.
+	StaticLimit bool
+	NoWarmUp    bool
+	RoundRobin  bool
 }
 
 // Log says how much is logged.
@@ -128,6 +134,7 @@
 
 func (s *Settings) readLimits(sec *inifile.Section) {
 	s.Limits.Queries = sec.Int("queries", 4096, 1, 1_000_000)
+	s.Limits.Queue = sec.Int("queue", 1024, 0, 1_000_000)
 	s.Limits.BodyBytes = sec.Int("body-bytes", 64<<10, 1<<10, 16<<20)
 	s.Limits.Connections = sec.Int("connections", 2048, 1, 65_535)
 }
@@ -135,6 +142,9 @@
 func (s *Settings) readPolicy(sec *inifile.Section) {
 	s.Policy.Hedge = sec.Bool("hedge", true)
 	s.Policy.Seed = sec.Int("seed", 1, 0, 1<<31-1)
+	s.Policy.StaticLimit = sec.Choice("limit", "adaptive", "adaptive", "static") == "static"
+	s.Policy.NoWarmUp = !sec.Bool("warm-up", true)
+	s.Policy.RoundRobin = sec.Choice("selection", "two-choice", "two-choice", "round-robin") == "round-robin"
 }
 
 func (s *Settings) readLog(sec *inifile.Section) {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -63,6 +63,7 @@
 const (
 	defaultLatency = 5 * time.Millisecond
 	maxLatency     = time.Minute
+	defaultDown    = 200 * time.Millisecond
 )
 
 func (c *Config) readTarget(s *inifile.Section, name string) {
@@ -78,6 +79,12 @@
 			ColdBudget: s.Int("cold-budget", 1, 1, 10_000),
 			Cold:       s.Bool("cold", false),
 			Leaving:    s.Bool("leaving", false),
+			Warming: Warming{
+				Requests:  s.Int("warm-after-requests", 0, 0, 1_000_000),
+				Time:      s.Duration("warm-after", 0, 0, maxLatency),
+				FallsOver: s.Bool("falls-over", false),
+				Down:      s.Duration("down", defaultDown, 0, maxLatency),
+			},
 		},
 	})
 }
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -31,6 +31,7 @@
 	ColdBudget int
 	Cold       bool
 	Leaving    bool
+	Warming    Warming
 }
 
 // Target is one stand-in target.
@@ -43,9 +44,12 @@
 	incarnation uint64
 	running     int
 	served      uint64
+	cold        coldCounts
+	lastBegan   time.Time
 	cancels     map[targetapi.AttemptRef]chan struct{}
 
-	server *httpd.Server
+	listener *restartListener
+	server   *httpd.Server
 }
 
 // StartTarget listens on address, where port 0 takes a free one.
@@ -57,7 +61,12 @@
 		incarnation: 1,
 		cancels:     map[targetapi.AttemptRef]chan struct{}{},
 	}
-	s, err := httpd.Start(address, httpd.Limits{BodyBytes: maxBody}, t.routes)
+	listener, err := listenRestartable(address)
+	if err != nil {
+		return nil, fmt.Errorf("target %q: %w", name, err)
+	}
+	t.listener = listener
+	s, err := httpd.Serve(listener, httpd.Limits{BodyBytes: maxBody}, t.routes)
 	if err != nil {
 		return nil, fmt.Errorf("target %q: %w", name, err)
 	}
@@ -91,40 +100,57 @@
 		c.JSON(http.StatusBadRequest, targetapi.SearchReply{Status: targetapi.StatusBadRequest})
 		return
 	}
-	work, cancelled, ok := t.begin(req.Attempt)
+	if expired(&req) {
+		c.JSON(http.StatusServiceUnavailable, t.reply(targetapi.StatusCold, nil))
+		return
+	}
+	job, ok := t.begin(req.Attempt)
 	if !ok {
 		c.JSON(http.StatusServiceUnavailable, t.reply(targetapi.StatusShed, nil))
 		return
 	}
-	defer t.end(req.Attempt)
-	timer := time.NewTimer(min(work, time.Duration(req.DeadlineMicros)*time.Microsecond))
+	defer t.end(req.Attempt, &job)
+	limit := timeLeft(&req)
+	timer := time.NewTimer(min(job.work, limit))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		if work > time.Duration(req.DeadlineMicros)*time.Microsecond {
+		if job.work > limit {
 			c.JSON(http.StatusGatewayTimeout, t.reply(targetapi.StatusDeadline, nil))
 			return
 		}
+		job.answered = true
 		c.JSON(http.StatusOK, t.reply(targetapi.StatusOK, &req))
-	case <-cancelled:
+	case <-job.cancelled:
 		c.JSON(http.StatusGone, t.reply(targetapi.StatusCancelled, nil))
 	}
 }
 
+// job is one request that the target runs.
+type job struct {
+	work        time.Duration
+	cancelled   chan struct{}
+	incarnation uint64
+	answered    bool
+}
+
 // begin takes a slot and draws how long the request will take.
-func (t *Target) begin(ref targetapi.AttemptRef) (time.Duration, chan struct{}, bool) {
+func (t *Target) begin(ref targetapi.AttemptRef) (job, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := &t.behaviour
+	t.warmByTime()
 	capacity := b.Slots
 	if b.Cold {
 		capacity = b.ColdBudget
 	}
 	if t.running >= capacity {
-		return 0, nil, false
+		t.overloaded()
+		return job{}, false
 	}
 	t.running++
 	t.served++
+	t.countBegin()
 	work := b.Latency
 	if b.Jitter > 0 {
 		work += time.Duration(t.rng.Int64N(int64(b.Jitter)))
@@ -134,14 +160,21 @@
 	}
 	ch := make(chan struct{})
 	t.cancels[ref] = ch
-	return work, ch, true
+	return job{work: work, cancelled: ch, incarnation: t.incarnation}, true
 }
 
-func (t *Target) end(ref targetapi.AttemptRef) {
+// end frees the slot, but for one of an incarnation that is gone.
+func (t *Target) end(ref targetapi.AttemptRef, j *job) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if j.incarnation != t.incarnation {
+		return
+	}
 	t.running--
 	delete(t.cancels, ref)
+	if j.answered {
+		t.warmByRequest()
+	}
 }
 
 func (t *Target) reply(status string, req *targetapi.SearchRequest) targetapi.SearchReply {
@@ -193,6 +226,7 @@
 func (t *Target) health(_ context.Context, c *app.RequestContext) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.warmByTime()
 	c.JSON(http.StatusOK, targetapi.HealthReply{
 		Incarnation: t.incarnation,
 		Cold:        t.behaviour.Cold,
--- a/internal/targetapi/api.go
+++ b/internal/targetapi/api.go
@@ -38,6 +38,9 @@
 	Body           string     `json:"body"`
 	Limit          int        `json:"limit"`
 	DeadlineMicros int64      `json:"deadline_us"`
+	// NotAfterMicros is a wall-clock time since the Unix epoch, 0 for none: the target
+	// starts no work on the request from then on and ends what it started.
+	NotAfterMicros int64 `json:"not_after_us,omitempty"`
 }
 
 // Hit is one document found.
