--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -196,6 +197,18 @@
 	return nil
 }
 
+// ZoneOf returns the published availability zone of a target.
+func (t *Testbed) ZoneOf(target string) string {
+	for i := range t.Layout.Services {
+		for shard, names := range t.Layout.Services[i].targetNames() {
+			if replica := slices.Index(names, target); replica >= 0 {
+				return t.Layout.Zones[(shard+replica)%len(t.Layout.Zones)].Name
+			}
+		}
+	}
+	return ""
+}
+
 // Fronts returns the hosts' addresses for callers.
 func (t *Testbed) Fronts() []string {
 	fronts := make([]string, len(t.Nodes))
