--- a/internal/core/engine/cold.go
+++ b/internal/core/engine/cold.go
@@ -52,17 +52,22 @@
 	}
 }
 
+// guard returns what bounds a request that goes to the target now.
+func (e *Engine) guard(id target.ID) Guard {
+	grant := e.targets.Grant(id)
+	g := Guard{Incarnation: grant.Incarnation, Check: grant.Check, Quota: e.targets.Entry(id).Quota}
+	if grant.Turn != nil {
+		g.NotAfter = grant.Turn.Ends
+	}
+	return g
+}
+
 // grant puts on a send what bounds it at its target: for a cold one, the turn's end.
 func (e *Engine) grant(s *Send) {
-	g := e.targets.Grant(s.Target)
-	s.Incarnation = g.Incarnation
-	s.Check = g.Check
-	s.Quota = e.targets.Entry(s.Target).Quota
-	if g.Turn == nil {
-		return
+	s.Guard = e.guard(s.Target)
+	if s.NotAfter != 0 {
+		s.Deadline = min(s.Deadline, e.targets.MonoOf(s.NotAfter))
 	}
-	s.NotAfter = g.Turn.Ends
-	s.Deadline = min(s.Deadline, e.targets.TurnEnd(g.Turn))
 }
 
 // afterStep reports news of targets to the peers, and arms the timer of the next turn.
--- a/internal/core/engine/effect.go
+++ b/internal/core/engine/effect.go
@@ -18,6 +18,11 @@
 	Request  *query.Request
 	// Deadline is on the monotonic clock; the target is told what is left of it.
 	Deadline time.Duration
+	Guard
+}
+
+// Guard bounds a request at its target.
+type Guard struct {
 	// NotAfter is the wall-clock time after which a cold target must refuse the request,
 	// 0 for a warm one.
 	NotAfter time.Duration
@@ -59,6 +64,7 @@
 	// Facts and Convictions are new first-hand knowledge for the peers.
 	Facts       []TargetFact
 	Convictions []Conviction
+	OnceEffects
 }
 
 // Reset empties the effects and keeps their memory.
@@ -73,4 +79,5 @@
 	fx.Answers = fx.Answers[:0]
 	fx.Facts = fx.Facts[:0]
 	fx.Convictions = fx.Convictions[:0]
+	fx.resetOnce()
 }
--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"pollentack.example/pollentack/internal/core/clock"
+	"pollentack.example/pollentack/internal/core/once"
 	"pollentack.example/pollentack/internal/core/query"
 	"pollentack.example/pollentack/internal/core/release"
 	"pollentack.example/pollentack/internal/core/result"
@@ -33,6 +34,8 @@
 	Targets target.Options
 	// Queue bounds the admitted requests that wait; 0 admits without a queue.
 	Queue int
+	// Once bounds the requests that run at most once.
+	Once once.Config
 }
 
 // Counters are totals since the start, for metrics.
@@ -63,6 +66,7 @@
 	counters Counters
 	gate     gate
 	turnDue  bool
+	once     onceState
 }
 
 // plan is a snapshot's replicas by target ID.
@@ -80,6 +84,7 @@
 		byKey:   map[uint64]query.ID{},
 		waiting: map[string][]query.AttemptID{},
 		gate:    newGate(cfg.Queue),
+		once:    newOnceState(&cfg.Once),
 	}
 	e.targets.Configure(cfg.Targets)
 	return e
@@ -105,7 +110,10 @@
 		e.peerFacts(ev)
 	case *Isolation:
 		e.isolated = ev.Isolated
+	default:
+		e.stepOnce(now, ev, fx)
 	}
+	e.resumeRuns(now, fx)
 	e.afterStep(now, fx)
 }
 
@@ -125,6 +133,10 @@
 		if e.ownTimer(now, t, fx) {
 			continue
 		}
+		if t.kind == timerOnceRun || t.kind == timerOnceCall {
+			e.onceDue(t, fx)
+			continue
+		}
 		q, ok := e.queries[t.query]
 		if !ok {
 			continue
@@ -141,8 +153,8 @@
 // NextWake returns when Advance must next be called, and false for never.
 func (e *Engine) NextWake() (time.Duration, bool) { return e.timers.next() }
 
-// InProgress returns the number of queries in progress, those that wait included.
-func (e *Engine) InProgress() int { return len(e.queries) + e.gate.size }
+// InProgress returns the number of requests in progress, those that wait included.
+func (e *Engine) InProgress() int { return len(e.queries) + e.gate.size + e.once.inProgress() }
 
 // Draining reports whether the engine refuses new work for a graceful shutdown.
 func (e *Engine) Draining() bool { return e.draining }
@@ -160,6 +172,7 @@
 	e.state = s
 	e.targets.Apply(s)
 	e.plans = map[*release.Snapshot]plan{}
+	e.planRuns(s)
 	for _, svc := range s.Services {
 		for _, snap := range svc.Snapshots {
 			e.plans[snap] = e.planOf(snap)
--- a/internal/core/engine/timer.go
+++ b/internal/core/engine/timer.go
@@ -12,6 +12,8 @@
 const (
 	timerDeadline timerKind = iota + 1
 	timerHedge
+	timerOnceRun
+	timerOnceCall
 	// timerTurn and timerQueue belong to no query.
 	timerTurn
 	timerQueue
--- a/internal/core/target/cold.go
+++ b/internal/core/target/cold.go
@@ -29,11 +29,25 @@
 	return g
 }
 
-// wallToMono converts a wall-clock time of this step to the monotonic clock.
-func (t *Table) wallToMono(wall time.Duration) time.Duration { return t.now.Mono + wall - t.now.Wall }
-
-// TurnEnd returns the end of the turn on the monotonic clock.
-func (t *Table) TurnEnd(turn *Turn) time.Duration { return t.wallToMono(turn.Ends) }
+// MonoOf converts a wall-clock time to the monotonic clock, as they stand in this step.
+func (t *Table) MonoOf(wall time.Duration) time.Duration { return t.now.Mono + wall - t.now.Wall }
+
+// runReserve is what must be left of a turn for a request that runs at most once.
+const runReserve = TurnLength / 2
+
+// PickRun is Pick for a request that runs at most once. It goes to a cold target only
+// early in the turn: the turn's end would leave the outcome of a long one unknown.
+func (t *Table) PickRun(replicas []ID, avoid ID) ID {
+	early := TurnAt(t.now.Wall).Ends-t.now.Wall >= runReserve
+	fit := make([]ID, 0, len(replicas))
+	for _, id := range replicas {
+		if early || !t.entries[id].Cold {
+			fit = append(fit, id)
+		}
+	}
+	id, _ := t.Pick(fit, avoid)
+	return id
+}
 
 // NextTurn returns when the next turn opens, on the monotonic clock, and false where no
 // target is cold.
@@ -41,7 +55,7 @@
 	if len(t.cold) == 0 {
 		return 0, false
 	}
-	return t.wallToMono(nextOpening(t.now.Wall)), true
+	return t.MonoOf(nextOpening(t.now.Wall)), true
 }
 
 // SettleAll ends the ramp of every cold target that has become warm.
