--- a/internal/core/engine/admit.go
+++ b/internal/core/engine/admit.go
@@ -7,7 +7,6 @@
 	"pollentack.example/pollentack/internal/core/query"
 	"pollentack.example/pollentack/internal/core/release"
 	"pollentack.example/pollentack/internal/core/result"
-	"pollentack.example/pollentack/internal/core/target"
 )
 
 // submit admits a request and starts its query, or refuses it as not run.
@@ -17,12 +16,12 @@
 		e.refuse(req.Key, err.Code, err.Detail, fx)
 		return
 	}
-	snap := e.chooseSnapshot(svc)
-	if snap == nil {
+	plan := e.chooseSnapshot(now, svc, nil)
+	if plan == nil {
 		e.refuse(req.Key, result.NoReplica, fmt.Sprintf("service %q has no servable snapshot", svc.Name), fx)
 		return
 	}
-	e.start(now, req, svc, snap, fx)
+	e.start(now, req, svc, plan, fx)
 }
 
 func (e *Engine) admit(req *query.Request) (*release.Service, *result.Error) {
@@ -51,52 +50,3 @@
 	}
 	return svc, nil
 }
-
-// chooseSnapshot returns the newest snapshot whose every shard has a usable replica,
-// else the newest with any, else nil.
-func (e *Engine) chooseSnapshot(svc *release.Service) *release.Snapshot {
-	var partial *release.Snapshot
-	for _, snap := range svc.Snapshots {
-		usable := e.usableShards(snap)
-		if usable == len(snap.Shards) {
-			return snap
-		}
-		if usable > 0 && partial == nil {
-			partial = snap
-		}
-	}
-	return partial
-}
-
-func (e *Engine) usableShards(snap *release.Snapshot) int {
-	n := 0
-	for _, replicas := range e.plans[snap] {
-		if _, usable := e.targets.Pick(replicas, target.None); usable {
-			n++
-		}
-	}
-	return n
-}
-
-func (e *Engine) start(now clock.Instant, req *query.Request, svc *release.Service, snap *release.Snapshot, fx *Effects) {
-	timeout := svc.Policy.Deadline
-	if req.Timeout > 0 && req.Timeout < timeout {
-		timeout = req.Timeout
-	}
-	e.nextID++
-	q := &query.Query{
-		ID:       e.nextID,
-		Request:  req,
-		Policy:   svc.Policy,
-		Snapshot: snap,
-		Replicas: e.plans[snap],
-		Started:  now.Mono,
-		Deadline: now.Mono + timeout,
-		Slots:    make([]query.Slot, len(snap.Shards)),
-	}
-	e.queries[q.ID] = q
-	e.byKey[req.Key] = q.ID
-	e.counters.Queries++
-	e.timers.arm(timer{due: q.Deadline, query: q.ID, kind: timerDeadline})
-	e.scatter(now, q, fx)
-}
--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -33,13 +33,23 @@
 
 // Counters are totals since the start, for metrics.
 type Counters struct {
-	Queries        uint64 `json:"queries"`
-	Refusals       uint64 `json:"refusals"`
-	FirstAttempts  uint64 `json:"first_attempts"`
-	Hedges         uint64 `json:"hedges"`
-	Retries        uint64 `json:"retries"`
+	Queries       uint64 `json:"queries"`
+	Refusals      uint64 `json:"refusals"`
+	FirstAttempts uint64 `json:"first_attempts"`
+	Hedges        uint64 `json:"hedges"`
+	Retries       uint64 `json:"retries"`
+	// Resends are attempts in place of one that is known not to have run.
+	Resends        uint64 `json:"resends"`
 	LateReplies    uint64 `json:"late_replies"`
 	WrongSnapshots uint64 `json:"wrong_snapshots"`
+	// UnknownReplies match no open attempt: duplicates and crossed replies.
+	UnknownReplies    uint64 `json:"unknown_replies"`
+	TruncatedReplies  uint64 `json:"truncated_replies"`
+	CrossedReplies    uint64 `json:"crossed_replies"`
+	StaleIncarnations uint64 `json:"stale_incarnations"`
+	SnapshotsDenied   uint64 `json:"snapshots_denied"`
+	ShardsLost        uint64 `json:"shards_lost"`
+	Restarts          uint64 `json:"restarts"`
 }
 
 // Engine is the data plane's core.
@@ -47,11 +57,23 @@
 	cfg      Config
 	rng      *rand.Rand
 	state    *release.State
-	plans    map[*release.Snapshot]plan
-	targets  *target.Table
-	queries  map[query.ID]*query.Query
-	byKey    map[uint64]query.ID
-	waiting  map[string][]query.AttemptID
+	services map[string]*query.Service
+	plans    map[planKey]*query.Plan
+	// withdrawn holds plans that only pinned queries still use.
+	withdrawn []*query.Plan
+	// groupsOf lists by target ID the groups that the target is a replica of.
+	groupsOf  [][]*query.Group
+	nextGroup uint64
+	targets   *target.Table
+	queries   map[query.ID]*query.Query
+	// ended holds queries that were answered and have attempts in progress.
+	ended map[query.ID]*query.Query
+	byKey map[uint64]query.ID
+	// pool holds queries for reuse.
+	pool []*query.Query
+	// waiting is the number of waiters in all groups, turn where the next look begins.
+	waiting  int
+	turn     int
 	timers   timerHeap
 	nextID   query.ID
 	draining bool
@@ -59,20 +81,18 @@
 	counters Counters
 }
 
-// plan is a snapshot's replicas by target ID.
-type plan [][]target.ID
-
 // New returns an engine that refuses everything until a Release event.
 func New(cfg Config) *Engine {
 	rng := rand.New(rand.NewPCG(cfg.Seed, 0))
 	return &Engine{
-		cfg:     cfg,
-		rng:     rng,
-		plans:   map[*release.Snapshot]plan{},
-		targets: target.NewTable(rng),
-		queries: map[query.ID]*query.Query{},
-		byKey:   map[uint64]query.ID{},
-		waiting: map[string][]query.AttemptID{},
+		cfg:      cfg,
+		rng:      rng,
+		services: map[string]*query.Service{},
+		plans:    map[planKey]*query.Plan{},
+		targets:  target.NewTable(rng),
+		queries:  map[query.ID]*query.Query{},
+		ended:    map[query.ID]*query.Query{},
+		byKey:    map[uint64]query.ID{},
 	}
 }
 
@@ -87,7 +107,7 @@
 	case *CallerGone:
 		e.callerGone(now, ev.Key, fx)
 	case *Release:
-		e.release(ev.State)
+		e.release(now, ev.State, fx)
 	case *Health:
 		e.health(ev)
 	case *Drain:
@@ -106,6 +126,10 @@
 		if !ok {
 			return
 		}
+		if t.kind == timerWake {
+			e.wake(now, t, fx)
+			continue
+		}
 		q, ok := e.queries[t.query]
 		if !ok {
 			continue
@@ -113,8 +137,8 @@
 		switch t.kind {
 		case timerDeadline:
 			e.finish(now, q, fx)
-		case timerHedge:
-			e.hedge(now, q, fx)
+		case timerSweep:
+			e.sweep(now, q, fx)
 		}
 	}
 }
@@ -137,30 +161,20 @@
 // Targets gives read access to the target table for status reports.
 func (e *Engine) Targets() *target.Table { return e.targets }
 
-func (e *Engine) release(s *release.State) {
-	e.state = s
-	e.targets.Apply(s)
-	e.plans = map[*release.Snapshot]plan{}
-	for _, svc := range s.Services {
-		for _, snap := range svc.Snapshots {
-			e.plans[snap] = e.planOf(snap)
-		}
+// health takes a hint only: a target that its health endpoint alone calls leaving comes
+// after its peers, and one that claims a snapshot is asked for it again.
+func (e *Engine) health(ev *Health) {
+	if ev.Name != "" {
+		ev.Target = e.targets.Lookup(ev.Name)
 	}
-}
-
-func (e *Engine) planOf(snap *release.Snapshot) plan {
-	p := make(plan, len(snap.Shards))
-	for i, shard := range snap.Shards {
-		for _, name := range shard.Replicas {
-			p[i] = append(p[i], e.targets.Lookup(name))
-		}
+	if ev.Target == target.None {
+		return
+	}
+	e.targets.HintLeaving(ev.Target, ev.Leaving)
+	service := e.targets.Entry(ev.Target).Spec.Service
+	for _, key := range ev.Snapshots {
+		e.claimed(service, key, ev.Target)
 	}
-	return p
-}
-
-func (e *Engine) health(h *Health) {
-	entry := e.targets.Entry(h.Target)
-	entry.Leaving = entry.Leaving || h.Leaving
 }
 
 // peerFacts takes hearsay of targets: only a newer incarnation or a departure counts.
--- a/internal/core/engine/event.go
+++ b/internal/core/engine/event.go
@@ -53,8 +53,8 @@
 // Outcome is how one attempt ended.
 type Outcome int
 
-// Outcomes. Only Answered carries a whole reply. Shed, Unreachable, SnapshotGone and
-// ColdRefused are known not to have run; Lost and Cancelled may have.
+// Outcomes. Only Answered carries a whole reply. Shed, Unreachable, SnapshotGone,
+// ColdRefused and Unsent are known not to have run; the others may have.
 const (
 	Answered Outcome = iota + 1
 	Shed
@@ -63,16 +63,21 @@
 	ColdRefused
 	Lost
 	Cancelled
+	// Unsent never left this host, which had no connection or time for it.
+	Unsent
+	// Truncated is a reply that lacks hits, Crossed one to another attempt.
+	Truncated
+	Crossed
 )
 
-var outcomeNames = [...]string{"", "answered", "shed", "unreachable", "snapshot_gone", "cold_refused", "lost", "cancelled"}
+var outcomeNames = [...]string{"", "answered", "shed", "unreachable", "snapshot_gone", "cold_refused", "lost", "cancelled", "unsent", "truncated", "crossed"}
 
 // String returns the outcome's name in logs and traces.
 func (o Outcome) String() string { return outcomeNames[o] }
 
 // NotRun reports whether the target is known not to have run the attempt.
 func (o Outcome) NotRun() bool {
-	return o == Shed || o == Unreachable || o == SnapshotGone || o == ColdRefused
+	return o == Shed || o == Unreachable || o == SnapshotGone || o == ColdRefused || o == Unsent
 }
 
 // Reply is the end of one attempt, as the target client saw it.
@@ -92,7 +97,9 @@
 
 // Health is what a target's health endpoint says; it lags and may mislead.
 type Health struct {
-	Target      target.ID
+	Target target.ID
+	// Name is set in place of Target by a sender that knows no IDs.
+	Name        string
 	Reachable   bool
 	Incarnation uint64
 	Cold        bool
--- a/internal/core/engine/gather.go
+++ b/internal/core/engine/gather.go
@@ -1,124 +1,171 @@
 package engine
 
 import (
-	"fmt"
+	"time"
 
 	"pollentack.example/pollentack/internal/core/clock"
 	"pollentack.example/pollentack/internal/core/query"
-	"pollentack.example/pollentack/internal/core/result"
+	"pollentack.example/pollentack/internal/core/target"
 )
 
-// reply takes the end of an attempt. A reply whose query has ended, whose attempt is
-// not open or whose snapshot is another is counted and never merged.
+// reply takes the end of an attempt. Only a whole reply of the pinned snapshot to an
+// attempt that is open, from the target that it was sent to and not from an older
+// incarnation of it, is merged; all others are counted.
 func (e *Engine) reply(now clock.Instant, r *Reply, fx *Effects) {
-	e.observe(r)
-	q, ok := e.queries[r.Attempt.Query]
-	if !ok {
-		e.counters.LateReplies++
-		e.resume(now, e.serviceOf(r), fx)
+	switch r.Outcome {
+	case Truncated:
+		e.counters.TruncatedReplies++
+	case Crossed:
+		e.counters.CrossedReplies++
+	}
+	q, live := e.queries[r.Attempt.Query]
+	if !live {
+		q = e.ended[r.Attempt.Query]
+	}
+	a := openAttempt(q, r)
+	if a == nil {
+		e.counters.UnknownReplies++
 		return
 	}
+	stale := r.Incarnation != 0 && r.Incarnation < e.targets.Entry(r.Target).Incarnation
+	e.observe(now, q, r, a.Sent)
 	slot := &q.Slots[r.Attempt.Shard]
-	slot.Tried[r.Attempt.Try].Open = false
+	slot.End(a, r.Outcome.NotRun())
+	q.Open--
+	q.Ran = q.Ran || !r.Outcome.NotRun()
 	switch {
+	case !live:
+		e.late(q, r)
 	case slot.Done:
 		e.counters.LateReplies++
-	case r.Outcome == Answered && r.Snapshot != q.Snapshot.Key():
-		e.counters.WrongSnapshots++
-	case r.Outcome == Answered:
-		q.Gather(r.Attempt.Shard, r.Hits)
-		e.cancelLosers(q, r.Attempt.Shard, fx)
 	default:
-		e.retry(now, q, r, fx)
+		e.take(now, q, r, stale, fx)
 	}
-	if q.Complete() {
-		e.finish(now, q, fx)
-	}
-	e.resume(now, e.serviceOf(r), fx)
+	e.resume(now, r.Target, fx)
 }
 
-func (e *Engine) observe(r *Reply) {
-	e.targets.Done(r.Target, r.Elapsed, r.Outcome == Answered)
-	entry := e.targets.Entry(r.Target)
-	entry.Leaving = entry.Leaving || r.Leaving
-	if r.Incarnation != 0 {
-		entry.Incarnation = r.Incarnation
+// openAttempt returns the open attempt that the reply is for, or nil.
+func openAttempt(q *query.Query, r *Reply) *query.Attempt {
+	if q == nil || r.Attempt.Shard < 0 || int(r.Attempt.Shard) >= len(q.Slots) {
+		return nil
+	}
+	a := q.Slots[r.Attempt.Shard].Find(r.Attempt.Try)
+	if a == nil || a.Target != r.Target {
+		return nil
 	}
+	return a
 }
 
-func (e *Engine) serviceOf(r *Reply) string { return e.targets.Entry(r.Target).Spec.Service }
-
-// retry sends the shard to another replica within the budget.
-func (e *Engine) retry(now clock.Instant, q *query.Query, r *Reply, fx *Effects) {
-	if q.Slots[r.Attempt.Shard].Open() > 0 || !e.budgetAllows(q) {
-		return
+// late takes the end of an attempt whose query has ended.
+func (e *Engine) late(q *query.Query, r *Reply) {
+	e.counters.LateReplies++
+	if r.Outcome == SnapshotGone {
+		e.counters.SnapshotsDenied++
 	}
-	if e.attempt(now, q, r.Attempt.Shard, r.Target, fx) {
-		e.counters.Retries++
+	if q.Open == 0 {
+		delete(e.ended, q.ID)
+		e.recycle(q)
 	}
 }
 
-func (e *Engine) cancelLosers(q *query.Query, shard int32, fx *Effects) {
+// take decides what the end of an attempt means for its query, which is in progress.
+func (e *Engine) take(now clock.Instant, q *query.Query, r *Reply, stale bool, fx *Effects) {
+	shard := r.Attempt.Shard
 	slot := &q.Slots[shard]
-	for try := range slot.Tries {
-		if !slot.Tried[try].Open {
-			continue
+	switch {
+	case r.Outcome == Answered && stale:
+		e.counters.StaleIncarnations++
+		e.again(now, q, shard, r.Target, fx)
+	case r.Outcome == Answered && r.Snapshot != q.Snapshot().Key():
+		e.counters.WrongSnapshots++
+		e.denied(now, q.Plan, r.Target)
+		e.again(now, q, shard, r.Target, fx)
+	case r.Outcome == Answered:
+		q.Plan.ClearLacking(r.Target)
+		q.Gather(shard, r.Snapshot, r.Hits)
+		if slot.Open() > 0 {
+			e.cancelAttempts(q, shard, fx)
 		}
-		fx.Cancels = append(fx.Cancels, Cancel{
-			Attempt: query.AttemptID{Query: q.ID, Shard: shard, Try: try},
-			Spec:    e.targets.Entry(slot.Tried[try].Target).Spec,
-		})
+	case r.Outcome == SnapshotGone:
+		e.denied(now, q.Plan, r.Target)
+		e.placeUnlessOpen(now, q, shard, fx)
+	case r.Outcome == Unsent:
+		e.parkUnlessOpen(now, q, shard)
+	case r.Outcome.NotRun():
+		e.placeUnlessOpen(now, q, shard, fx)
+	default:
+		e.again(now, q, shard, r.Target, fx)
+	}
+	if e.queries[q.ID] == q {
+		e.settle(now, q, fx)
 	}
 }
 
-// finish answers the query with what it has and cancels what is still in progress.
-func (e *Engine) finish(now clock.Instant, q *query.Query, fx *Effects) {
-	for shard := range q.Slots {
-		e.cancelLosers(q, int32(shard), fx)
-	}
-	delete(e.queries, q.ID)
-	delete(e.byKey, q.Request.Key)
-	code, detail := verdict(q)
-	answer := Answer{
-		Key:      q.Request.Key,
-		Code:     code,
-		Detail:   detail,
-		Snapshot: q.Snapshot.Key(),
-		Coverage: q.Coverage(),
-		Shards:   len(q.Slots),
-		Attempts: q.Attempts,
-		Elapsed:  now.Mono - q.Started,
-	}
-	if !q.Complete() {
-		answer.Missing = q.Missing()
-	}
-	if code == result.OK {
-		answer.Hits = q.Merge()
-	} else {
-		e.counters.Refusals++
-	}
-	fx.Answers = append(fx.Answers, answer)
+// placeUnlessOpen sends a shard again whose attempt did not run. It costs no budget:
+// the refusal holds the target, so the shard goes to another replica or waits.
+func (e *Engine) placeUnlessOpen(now clock.Instant, q *query.Query, shard int32, fx *Effects) {
+	if slot := &q.Slots[shard]; slot.Open() > 0 || slot.Waiting {
+		return
+	}
+	e.place(now, q, shard, fx)
 }
 
-func verdict(q *query.Query) (result.Code, string) {
-	least := q.Policy.MinCoverage
-	if q.Policy.Whole {
-		least = 1
+// parkUnlessOpen lets a shard wait that this host itself could not send: to send it
+// again at once would find the same lack.
+func (e *Engine) parkUnlessOpen(now clock.Instant, q *query.Query, shard int32) {
+	if slot := &q.Slots[shard]; slot.Open() > 0 || slot.Waiting {
+		return
+	}
+	e.park(now, q, shard, target.Choice{ID: target.None, Usable: true, Retry: now.Mono + waitPause})
+}
+
+// again retries a shard whose attempt may have run, within the budget. Without a token
+// the next sweep tries again; with no attempt left the shard is lost.
+func (e *Engine) again(now clock.Instant, q *query.Query, shard int32, failed target.ID, fx *Effects) {
+	slot := &q.Slots[shard]
+	if slot.Open() > 0 {
+		return
+	}
+	if !slot.CanTry() || !q.Service.Budget.Enabled() {
+		e.loseShard(now, q, shard, fx)
+		return
 	}
-	if q.Complete() || (q.Answered > 0 && q.Coverage() >= least) {
-		return result.OK, ""
+	c := e.attempt(now, q, shard, failed, retry, fx)
+	if c.ID == target.None && !c.Usable {
+		c = e.attempt(now, q, shard, target.None, retry, fx)
 	}
-	if q.Attempts == 0 {
-		return result.DeadlineTooShort, "no target had room before the deadline"
+	switch {
+	case c.ID != target.None:
+	case !c.Usable:
+		e.loseShard(now, q, shard, fx)
+	default:
+		e.armSweepAt(now.Mono+waitPause, q)
 	}
-	return result.CoverageTooLow, fmt.Sprintf("coverage %.3f is below %.3f", q.Coverage(), least)
 }
 
-// callerGone ends a query whose caller no longer waits, without an answer.
-func (e *Engine) callerGone(now clock.Instant, key uint64, fx *Effects) {
-	id, ok := e.byKey[key]
-	if !ok {
-		return
+// observe takes first-hand knowledge of the target from the end of an attempt.
+func (e *Engine) observe(now clock.Instant, q *query.Query, r *Reply, sent time.Duration) {
+	elapsed := now.Mono - sent
+	e.targets.Done(r.Target, r.Elapsed, r.Outcome == Answered)
+	entry := e.targets.Entry(r.Target)
+	entry.Leaving = entry.Leaving || r.Leaving
+	if r.Incarnation > entry.Incarnation {
+		entry.Incarnation = r.Incarnation
+	}
+	g := &q.Plan.Groups[r.Attempt.Shard]
+	switch r.Outcome {
+	case Answered:
+		g.Latency.Add(elapsed)
+		q.Service.Latency.Add(elapsed)
+		e.targets.Answered(r.Target, now.Mono, g.Replicas)
+	case Shed, ColdRefused:
+		e.targets.Refused(r.Target, now.Mono, false)
+	case Unreachable:
+		e.targets.Refused(r.Target, now.Mono, true)
+	case Lost, Truncated, Crossed:
+		e.targets.Lost(r.Target, now.Mono)
+	case Cancelled:
+		g.Latency.AddAtLeast(elapsed)
+		q.Service.Latency.AddAtLeast(elapsed)
 	}
-	e.finish(now, e.queries[id], fx)
 }
--- a/internal/core/engine/scatter.go
+++ b/internal/core/engine/scatter.go
@@ -6,103 +6,93 @@
 	"pollentack.example/pollentack/internal/core/target"
 )
 
-// hedgeLatencyFactor is how many times the slowest tried target's usual latency a
-// query waits before it hedges.
-const hedgeLatencyFactor = 3
+// purpose is why an attempt is made.
+type purpose int
 
-// scatter sends the first attempt of every shard.
+const (
+	first purpose = iota + 1
+	resend
+	retry
+	hedge
+)
+
+// scatter sends the first attempt of every shard that has a replica with room.
 func (e *Engine) scatter(now clock.Instant, q *query.Query, fx *Effects) {
+	id := q.ID
 	for shard := range q.Slots {
-		if !e.attempt(now, q, int32(shard), target.None, fx) {
-			e.wait(q, int32(shard))
-			continue
+		e.place(now, q, int32(shard), fx)
+		if q.ID != id || e.queries[id] != q {
+			return
 		}
-		e.counters.FirstAttempts++
 	}
-	e.armHedge(now, q)
+	e.armSweep(now, q)
+	e.settle(now, q, fx)
+}
+
+// place sends an attempt of a shard that has none in progress, or lets the shard wait.
+// A shard that no replica can answer is lost.
+func (e *Engine) place(now clock.Instant, q *query.Query, shard int32, fx *Effects) {
+	why := first
+	if q.Slots[shard].Tried() {
+		why = resend
+	}
+	c := e.attempt(now, q, shard, target.None, why, fx)
+	switch {
+	case c.ID != target.None:
+	case !c.Usable:
+		e.loseShard(now, q, shard, fx)
+	default:
+		e.park(now, q, shard, c)
+	}
 }
 
 // attempt sends one request for the shard if a replica other than avoid has room.
-func (e *Engine) attempt(now clock.Instant, q *query.Query, shard int32, avoid target.ID, fx *Effects) bool {
+func (e *Engine) attempt(now clock.Instant, q *query.Query, shard int32, avoid target.ID, why purpose, fx *Effects) target.Choice {
 	slot := &q.Slots[shard]
 	if !slot.CanTry() {
-		return false
+		return target.Choice{ID: target.None}
 	}
-	id, _ := e.targets.Pick(q.Replicas[shard], avoid)
-	if id == target.None {
-		return false
+	c := e.targets.Choose(now.Mono, q.Plan.Groups[shard].Replicas, avoid, lackingOf(q.Plan, now))
+	if c.ID == target.None {
+		return c
 	}
-	e.targets.Sent(id)
+	entry := e.targets.Entry(c.ID)
+	if !timeLeft(now, q, entry.Latency) || (why == hedge && entry.UnderPressure()) {
+		c.ID = target.None
+		return c
+	}
+	if (why == hedge || why == retry) && !q.Service.Budget.Spend() {
+		c.ID = target.None
+		return c
+	}
+	e.targets.Sent(c.ID)
+	e.count(q, why)
 	q.Attempts++
-	try := slot.Begin(id, now.Mono)
+	q.Open++
+	slot.Waiting = false
+	try := slot.Begin(c.ID, now.Mono)
 	fx.Sends = append(fx.Sends, Send{
 		Attempt:  query.AttemptID{Query: q.ID, Shard: shard, Try: try},
-		Target:   id,
-		Spec:     e.targets.Entry(id).Spec,
-		Snapshot: q.Snapshot,
+		Target:   c.ID,
+		Spec:     entry.Spec,
+		Snapshot: q.Plan.Snapshot,
 		Request:  q.Request,
 		Deadline: q.Deadline,
 	})
-	return true
-}
-
-// wait queues a shard until a replica of its service has room.
-func (e *Engine) wait(q *query.Query, shard int32) {
-	name := q.Request.Service
-	e.waiting[name] = append(e.waiting[name], query.AttemptID{Query: q.ID, Shard: shard})
+	return c
 }
 
-// resume sends what waits for the service, oldest first, while there is room.
-func (e *Engine) resume(now clock.Instant, service string, fx *Effects) {
-	queue := e.waiting[service]
-	kept := queue[:0]
-	for _, id := range queue {
-		q, ok := e.queries[id.Query]
-		if !ok || q.Slots[id.Shard].Done {
-			continue
-		}
-		if !e.attempt(now, q, id.Shard, target.None, fx) {
-			kept = append(kept, id)
-			continue
-		}
+func (e *Engine) count(q *query.Query, why purpose) {
+	switch why {
+	case first:
 		e.counters.FirstAttempts++
+		q.Service.Budget.Earn(1)
+	case resend:
+		e.counters.Resends++
+	case retry:
+		e.counters.Retries++
+	case hedge:
+		e.counters.Hedges++
+		q.Hedges++
 	}
-	e.waiting[service] = kept
-}
-
-func (e *Engine) armHedge(now clock.Instant, q *query.Query) {
-	if !e.cfg.Hedge || q.Policy.HedgeBudget <= 0 {
-		return
-	}
-	due := now.Mono
-	for i := range q.Slots {
-		slot := &q.Slots[i]
-		if slot.Tries == 0 {
-			continue
-		}
-		usual := e.targets.Entry(slot.Tried[0].Target).Latency
-		due = max(due, now.Mono+hedgeLatencyFactor*usual)
-	}
-	if due > now.Mono && due < q.Deadline {
-		e.timers.arm(timer{due: due, query: q.ID, kind: timerHedge})
-	}
-}
-
-// hedge sends a second attempt for each late shard, within the budget.
-func (e *Engine) hedge(now clock.Instant, q *query.Query, fx *Effects) {
-	for i := range q.Slots {
-		slot := &q.Slots[i]
-		if slot.Done || slot.Open() != 1 || !e.budgetAllows(q) {
-			continue
-		}
-		if e.attempt(now, q, int32(i), slot.Tried[slot.Tries-1].Target, fx) {
-			e.counters.Hedges++
-		}
-	}
-}
-
-// budgetAllows reports whether one more hedge or retry keeps within the budget.
-func (e *Engine) budgetAllows(q *query.Query) bool {
-	extra := float64(e.counters.Hedges + e.counters.Retries + 1)
-	return extra <= q.Policy.HedgeBudget*float64(e.counters.FirstAttempts)
 }
--- a/internal/core/engine/timer.go
+++ b/internal/core/engine/timer.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"container/heap"
 	"time"
 
 	"pollentack.example/pollentack/internal/core/query"
@@ -11,19 +10,34 @@
 
 const (
 	timerDeadline timerKind = iota + 1
-	timerHedge
+	timerSweep
+	timerWake
 )
 
+// timer belongs to a query, or to a group for timerWake.
 type timer struct {
 	due   time.Duration
 	query query.ID
+	group *query.Group
 	kind  timerKind
 }
 
-// timerHeap orders timers by when they are due; the earliest is at index 0.
-type timerHeap struct{ items timerItems }
+// before breaks ties, so that equal runs pop in equal order.
+func (t *timer) before(o *timer) bool {
+	if t.due != o.due {
+		return t.due < o.due
+	}
+	if t.kind != o.kind {
+		return t.kind < o.kind
+	}
+	if t.kind == timerWake {
+		return t.group.Serial < o.group.Serial
+	}
+	return t.query < o.query
+}
 
-func (h *timerHeap) arm(t timer) { heap.Push(&h.items, t) }
+// timerHeap orders timers by when they are due; the earliest is at index 0.
+type timerHeap struct{ items []timer }
 
 func (h *timerHeap) next() (time.Duration, bool) {
 	if len(h.items) == 0 {
@@ -32,37 +46,45 @@
 	return h.items[0].due, true
 }
 
+func (h *timerHeap) arm(t timer) {
+	h.items = append(h.items, t)
+	i := len(h.items) - 1
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !h.items[i].before(&h.items[parent]) {
+			return
+		}
+		h.items[i], h.items[parent] = h.items[parent], h.items[i]
+		i = parent
+	}
+}
+
 func (h *timerHeap) popDue(now time.Duration) (timer, bool) {
 	if len(h.items) == 0 || h.items[0].due > now {
 		return timer{}, false
 	}
-	return heap.Pop(&h.items).(timer), true
+	top := h.items[0]
+	last := len(h.items) - 1
+	h.items[0] = h.items[last]
+	h.items[last] = timer{}
+	h.items = h.items[:last]
+	h.down()
+	return top, true
 }
 
-type timerItems []timer
-
-func (t timerItems) Len() int { return len(t) }
-
-// Less breaks ties by query and kind, so that equal runs pop in equal order.
-func (t timerItems) Less(i, j int) bool {
-	if t[i].due != t[j].due {
-		return t[i].due < t[j].due
-	}
-	if t[i].query != t[j].query {
-		return t[i].query < t[j].query
+func (h *timerHeap) down() {
+	i := 0
+	for {
+		least := i
+		for child := 2*i + 1; child <= 2*i+2 && child < len(h.items); child++ {
+			if h.items[child].before(&h.items[least]) {
+				least = child
+			}
+		}
+		if least == i {
+			return
+		}
+		h.items[i], h.items[least] = h.items[least], h.items[i]
+		i = least
 	}
-	return t[i].kind < t[j].kind
-}
-
-func (t timerItems) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-
-// Push is for container/heap.
-func (t *timerItems) Push(x any) { *t = append(*t, x.(timer)) }
-
-// Pop is for container/heap.
-func (t *timerItems) Pop() any {
-	old := *t
-	last := old[len(old)-1]
-	*t = old[:len(old)-1]
-	return last
 }
--- /dev/null
+++ b/internal/core/engine/world_test.go
@@ -0,0 +1,196 @@
+package engine
+
+import (
+	"flag"
+	"fmt"
+	"time"
+
+	"pollentack.example/pollentack/internal/core/clock"
+	"pollentack.example/pollentack/internal/core/query"
+	"pollentack.example/pollentack/internal/core/release"
+)
+
+const (
+	worldService = "portal"
+	worldLimit   = 1000
+)
+
+var worldKey = [32]byte{1}
+
+// The properties draw the same cases in every run.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// sent is an attempt as an observer outside the engine sees it.
+type sent struct {
+	Send
+	key    uint64
+	ended  bool
+	notRun bool
+}
+
+// world steps an engine against targets that the test plays, and keeps its own account
+// of what every caller could have been answered.
+type world struct {
+	engine *Engine
+	now    clock.Instant
+	fx     Effects
+	number uint64
+	state  *release.State
+
+	sends   map[query.AttemptID]*sent
+	order   []query.AttemptID
+	newest  map[uint64]query.ID
+	whole   map[query.ID]map[int32]bool
+	heard   map[string]uint64
+	answers map[uint64]Answer
+	cancels int
+	// check sees each answer at the moment it is given.
+	check func(Answer)
+}
+
+func newWorld(policy release.Policy, targets int) *world {
+	w := &world{
+		engine:  New(Config{Host: "host-1", Zone: "a", Seed: 1, MaxQueries: 1000, Hedge: true}),
+		sends:   map[query.AttemptID]*sent{},
+		newest:  map[uint64]query.ID{},
+		whole:   map[query.ID]map[int32]bool{},
+		heard:   map[string]uint64{},
+		answers: map[uint64]Answer{},
+		check:   func(Answer) {},
+	}
+	n := &release.Note{Number: 1, Baseline: true}
+	n.Items = append(n.Items,
+		release.Item{Op: release.Add, Zone: &release.Zone{Name: "a", Region: "r"}},
+		release.Item{Op: release.Add, Service: &release.Service{Name: worldService, Policy: policy}},
+		release.Item{Op: release.Add, Caller: &release.Caller{Name: "c", KeyHash: worldKey, Services: map[string]bool{worldService: true}, Rate: 1e9}})
+	for i := range targets {
+		n.Items = append(n.Items, release.Item{Op: release.Add, Target: &release.Target{
+			Name: worldTarget(i), Zone: "a", Service: worldService, Slots: 64, Connections: 1000, ColdBudget: 64,
+		}})
+	}
+	w.publish(n)
+	return w
+}
+
+func worldTarget(i int) string { return fmt.Sprintf("t%d", i) }
+
+// snapshot has weights 1, 2, 3 and so on; replicas takes the targets of each shard.
+func snapshot(version uint64, layout string, replicas ...[]int) *release.Snapshot {
+	s := &release.Snapshot{Service: worldService, Version: version, Layout: layout}
+	for i, targets := range replicas {
+		shard := release.Shard{Weight: float64(i + 1)}
+		for _, t := range targets {
+			shard.Replicas = append(shard.Replicas, worldTarget(t))
+		}
+		s.Shards = append(s.Shards, shard)
+		s.Weight += shard.Weight
+	}
+	return s
+}
+
+func (w *world) publish(n *release.Note) {
+	next, faults := release.Fold(w.state, n)
+	if len(faults) > 0 {
+		panic(fmt.Sprint(faults))
+	}
+	w.state = next
+	w.number = n.Number
+	w.step(&Release{State: next})
+}
+
+func (w *world) change(op release.Op, snap *release.Snapshot) {
+	w.publish(&release.Note{Number: w.number + 1, Follows: w.number, Items: []release.Item{{Op: op, Snapshot: snap}}})
+}
+
+func (w *world) submit(key uint64) {
+	w.step(&Submit{Request: &query.Request{Key: key, KeyHash: worldKey, Service: worldService, Limit: worldLimit}})
+}
+
+// advance moves the clock and calls the engine at each of its timers on the way.
+func (w *world) advance(d time.Duration) {
+	end := w.now.Mono + d
+	for {
+		due, ok := w.engine.NextWake()
+		if !ok || due > end {
+			break
+		}
+		w.now = w.now.Add(max(0, due-w.now.Mono))
+		w.engine.Advance(w.now, &w.fx)
+		w.take()
+	}
+	w.now = w.now.Add(end - w.now.Mono)
+}
+
+func (w *world) step(ev Event) {
+	w.engine.Step(w.now, ev, &w.fx)
+	w.take()
+}
+
+func (w *world) take() {
+	for _, s := range w.fx.Sends {
+		w.sends[s.Attempt] = &sent{Send: s, key: s.Request.Key}
+		w.order = append(w.order, s.Attempt)
+		w.newest[s.Request.Key] = s.Attempt.Query
+	}
+	w.cancels += len(w.fx.Cancels)
+	for _, a := range w.fx.Answers {
+		if _, twice := w.answers[a.Key]; twice {
+			panic(fmt.Sprintf("request %d is answered twice", a.Key))
+		}
+		w.answers[a.Key] = a
+		w.check(a)
+	}
+	w.fx.Reset()
+}
+
+// open lists the attempts that have not ended, oldest first.
+func (w *world) open() []query.AttemptID {
+	var ids []query.AttemptID
+	for _, id := range w.order {
+		if !w.sends[id].ended {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// end delivers a reply and keeps account of it: it makes its shard whole if it is the
+// first end of a known attempt, whole, of the snapshot asked for, from the target that
+// was asked and not from an older incarnation of it.
+func (w *world) end(r *Reply) {
+	s := w.sends[r.Attempt]
+	if s != nil && !s.ended && s.Target == r.Target {
+		s.ended = true
+		s.notRun = r.Outcome.NotRun()
+		stale := r.Incarnation < w.heard[s.Spec.Name]
+		w.heard[s.Spec.Name] = max(r.Incarnation, w.heard[s.Spec.Name])
+		if r.Outcome == Answered && r.Snapshot == s.Snapshot.Key() && !stale {
+			if w.whole[r.Attempt.Query] == nil {
+				w.whole[r.Attempt.Query] = map[int32]bool{}
+			}
+			w.whole[r.Attempt.Query][r.Attempt.Shard] = true
+		}
+	}
+	w.step(r)
+}
+
+// reply makes the reply of a target that behaves, or one with another outcome.
+func (w *world) reply(id query.AttemptID, outcome Outcome) *Reply {
+	s := w.sends[id]
+	r := &Reply{Attempt: id, Target: s.Target, Outcome: outcome, Incarnation: max(1, w.heard[s.Spec.Name]), Elapsed: time.Millisecond}
+	if outcome == Answered || outcome == Truncated || outcome == Crossed {
+		r.Snapshot = s.Snapshot.Key()
+		r.Hits = []query.Hit{hitOf(r.Snapshot, id.Shard)}
+	}
+	return r
+}
+
+func hitOf(key release.Key, shard int32) query.Hit {
+	return query.Hit{Doc: fmt.Sprintf("%d/%s/%d", key.Version, key.Layout, shard), Score: float64(shard)}
+}
--- /dev/null
+++ b/internal/core/quantile/quantile.go
@@ -0,0 +1,51 @@
+// Package quantile estimates one quantile of a stream in constant space.
+package quantile
+
+import "time"
+
+// P95 is the quantile after which a request counts as late.
+const P95 = 0.95
+
+const (
+	// gain is the relative step of a settled estimate.
+	gain = 0.05
+	// warmSamples is how many samples an estimate needs before it is trusted.
+	warmSamples = 32
+)
+
+// Estimator tracks the P95 of durations by stochastic approximation in the logarithm:
+// a sample above the estimate raises it by gain*P95, one below lowers it by
+// gain*(1-P95), so that it rests where one sample in twenty is above. Recent samples
+// weigh more than old ones. The zero value is ready.
+type Estimator struct {
+	value   float64
+	samples uint32
+}
+
+// Add takes one sample.
+func (e *Estimator) Add(d time.Duration) {
+	x := float64(max(d, 1))
+	if e.samples < warmSamples {
+		e.samples++
+		e.value = max(e.value, x)
+		return
+	}
+	if x > e.value {
+		e.value *= 1 + gain*P95
+		return
+	}
+	e.value *= 1 - gain*(1-P95)
+}
+
+// AddAtLeast takes a sample that was cut off at d: its true duration is d or more. It
+// tells something only where d is above the estimate already.
+func (e *Estimator) AddAtLeast(d time.Duration) {
+	if float64(d) > e.value {
+		e.Add(d)
+	}
+}
+
+// Value returns the estimate, and false while there are too few samples.
+func (e *Estimator) Value() (time.Duration, bool) {
+	return time.Duration(e.value), e.samples >= warmSamples
+}
--- a/internal/core/query/query.go
+++ b/internal/core/query/query.go
@@ -1,4 +1,4 @@
-// Package query holds one query's life: the snapshot it is pinned to, the attempt at
+// Package query holds one query's life: the snapshot it is pinned to, the attempts at
 // each shard, the replies gathered, and the coverage that the answer truly has.
 package query
 
@@ -7,10 +7,10 @@
 	"time"
 
 	"pollentack.example/pollentack/internal/core/release"
-	"pollentack.example/pollentack/internal/core/target"
 )
 
-// ID numbers the queries of one host incarnation.
+// ID numbers the queries of one host incarnation. A query that begins again on another
+// snapshot takes a new ID, so that no reply to the old attempts can match it.
 type ID uint64
 
 // AttemptID identifies one request to one target.
@@ -21,13 +21,6 @@
 	Try int32
 }
 
-// Hit is one document found.
-type Hit struct {
-	Doc   string  `json:"doc"`
-	Score float64 `json:"score"`
-	Title string  `json:"title,omitempty"`
-}
-
 // Request is what a caller asks.
 type Request struct {
 	// Key is the front's handle for the caller that waits.
@@ -43,92 +36,105 @@
 	TraceParent string
 }
 
-// Attempt is one request to one target that is in progress.
-type Attempt struct {
-	Target target.ID
-	Sent   time.Duration
-	Open   bool
-}
-
-// maxTries bounds the attempts at one shard: the first, its hedge and one retry.
-const maxTries = 3
-
-// Slot is the state of one shard of the query.
-type Slot struct {
-	Done  bool
-	Tries int32
-	Tried [maxTries]Attempt
-}
-
-// Open returns the number of attempts in progress.
-func (s *Slot) Open() int {
-	n := 0
-	for i := range s.Tries {
-		if s.Tried[i].Open {
-			n++
-		}
-	}
-	return n
-}
-
-// CanTry reports whether another attempt is allowed.
-func (s *Slot) CanTry() bool { return !s.Done && s.Tries < maxTries }
-
-// Begin records a new attempt and returns its number.
-func (s *Slot) Begin(t target.ID, now time.Duration) int32 {
-	try := s.Tries
-	s.Tried[try] = Attempt{Target: t, Sent: now, Open: true}
-	s.Tries++
-	return try
-}
-
 // Query is one query in progress.
 type Query struct {
 	ID       ID
 	Request  *Request
 	Policy   release.Policy
-	Snapshot *release.Snapshot
-	// Replicas lists the targets of each shard of the snapshot.
-	Replicas [][]target.ID
+	Service  *Service
+	Plan     *Plan
 	Started  time.Duration
 	Deadline time.Duration
 	Slots    []Slot
 	// Answered is the number of distinct shards whose whole reply arrived.
 	Answered int
-	// Weight is the weight of those shards.
+	// Lost is the number of shards that can no longer be answered.
+	Lost int
+	// Weight is the weight of the answered shards.
 	Weight float64
-	Hits   []Hit
+	// Top holds the best hits so far.
+	Top Top
 	// Attempts counts all requests sent, hedges and retries included.
 	Attempts int
+	// Hedges counts the hedges sent.
+	Hedges int
+	// Open is the number of attempts in progress.
+	Open int
+	// Ran is set once an attempt may have run.
+	Ran bool
+	// Retired is set once a shard was lost because no replica holds the snapshot.
+	Retired bool
+	// Restarts is how often the query began again on another snapshot.
+	Restarts int
+	// Late lists the shards that a hedge or a retry may still help.
+	Late []int32
+}
+
+// Reset makes q a query that has not begun on plan, and keeps its memory.
+func (q *Query) Reset(id ID, plan *Plan) {
+	q.ID = id
+	q.Plan = plan
+	q.Answered, q.Lost, q.Weight, q.Hedges = 0, 0, 0, 0
+	q.Retired = false
+	q.Late = q.Late[:0]
+	q.Top.Reset(q.Request.Limit)
+	n := len(plan.Groups)
+	q.Slots = slices.Grow(q.Slots[:0], n)[:n]
+	clear(q.Slots)
 }
 
+// Snapshot returns the snapshot that the query is pinned to.
+func (q *Query) Snapshot() *release.Snapshot { return q.Plan.Snapshot }
+
 // Complete reports whether every shard has answered.
 func (q *Query) Complete() bool { return q.Answered == len(q.Slots) }
 
+// Settled reports whether nothing more is awaited from any shard.
+func (q *Query) Settled() bool { return q.Answered+q.Lost == len(q.Slots) }
+
 // Coverage is the weighted share of shards that answered, 0 to 1.
 func (q *Query) Coverage() float64 {
 	if q.Complete() {
 		return 1
 	}
-	if q.Snapshot.Weight == 0 {
+	total := q.Snapshot().Weight
+	if total == 0 {
 		return 0
 	}
-	return q.Weight / q.Snapshot.Weight
+	return q.Weight / total
 }
 
-// Gather counts the whole reply of a shard; a second reply of a shard counts nothing.
-func (q *Query) Gather(shard int32, hits []Hit) bool {
+// Gather merges the whole reply of a shard and reports whether it did: a second reply
+// of a shard and a reply of another snapshot are not merged.
+func (q *Query) Gather(shard int32, from release.Key, hits []Hit) bool {
 	slot := &q.Slots[shard]
-	if slot.Done {
+	snap := q.Snapshot()
+	if slot.Done || from != snap.Key() {
 		return false
 	}
+	if slot.Lost {
+		slot.Lost = false
+		q.Lost--
+	}
 	slot.Done = true
+	slot.Waiting = false
 	q.Answered++
-	q.Weight += q.Snapshot.Shards[shard].Weight
-	q.Hits = append(q.Hits, hits...)
+	q.Weight += snap.Shards[shard].Weight
+	q.Top.Add(hits)
 	return true
 }
 
+// Lose records that a shard can no longer be answered.
+func (q *Query) Lose(shard int32) {
+	slot := &q.Slots[shard]
+	if slot.Settled() {
+		return
+	}
+	slot.Lost = true
+	slot.Waiting = false
+	q.Lost++
+}
+
 // Missing lists the shards that have not answered.
 func (q *Query) Missing() []int32 {
 	var missing []int32
@@ -139,27 +145,3 @@
 	}
 	return missing
 }
-
-// Merge returns the best hits, by score and then by document, so that equal replies
-// give equal answers in whatever order they came.
-func (q *Query) Merge() []Hit {
-	slices.SortFunc(q.Hits, betterFirst)
-	if len(q.Hits) > q.Request.Limit {
-		q.Hits = q.Hits[:q.Request.Limit]
-	}
-	return q.Hits
-}
-
-func betterFirst(a, b Hit) int {
-	switch {
-	case a.Score > b.Score:
-		return -1
-	case a.Score < b.Score:
-		return 1
-	case a.Doc < b.Doc:
-		return -1
-	case a.Doc > b.Doc:
-		return 1
-	}
-	return 0
-}
--- a/internal/core/target/table.go
+++ b/internal/core/target/table.go
@@ -21,6 +21,7 @@
 
 // Entry is what the host knows of one target.
 type Entry struct {
+	Standing
 	Spec *release.Target
 	// Incarnation is the last one that the target itself reported, 0 before the first.
 	Incarnation uint64
--- a/internal/edge/targetclient/client.go
+++ b/internal/edge/targetclient/client.go
@@ -62,7 +62,7 @@
 func (c *Client) Do(s *engine.Send) *engine.Reply {
 	begin := c.clock.Now().Mono
 	left := s.Deadline - begin
-	reply := &engine.Reply{Attempt: s.Attempt, Target: s.Target, Outcome: engine.Unreachable}
+	reply := &engine.Reply{Attempt: s.Attempt, Target: s.Target, Outcome: engine.Unsent}
 	if left <= 0 {
 		return reply
 	}
@@ -81,7 +81,7 @@
 	if err != nil {
 		reply.Outcome = outcomeOfError(err)
 	} else {
-		fill(reply, &answer)
+		fill(reply, &answer, c.ref(s.Attempt), s.Spec.Name)
 	}
 	span.End(attribute.String("outcome", reply.Outcome.String()))
 	return reply
@@ -162,7 +162,13 @@
 	targetapi.StatusCancelled:    engine.Cancelled,
 }
 
-func fill(reply *engine.Reply, answer *targetapi.SearchReply) {
+// fill takes the target's word. A reply that names another attempt or target is
+// crossed: what became of this attempt is not known, and nothing it says is believed.
+func fill(reply *engine.Reply, answer *targetapi.SearchReply, ref targetapi.AttemptRef, name string) {
+	if answer.Attempt != ref || answer.Target != name {
+		reply.Outcome = engine.Crossed
+		return
+	}
 	outcome, ok := outcomes[answer.Status]
 	if !ok {
 		outcome = engine.Lost
@@ -174,8 +180,12 @@
 	if outcome != engine.Answered {
 		return
 	}
-	if answer.Count != len(answer.Hits) || answer.Shard != reply.Attempt.Shard {
-		reply.Outcome = engine.Lost
+	if answer.Shard != ref.Shard {
+		reply.Outcome = engine.Crossed
+		return
+	}
+	if answer.Count != len(answer.Hits) {
+		reply.Outcome = engine.Truncated
 		return
 	}
 	reply.Snapshot = release.Key{Version: answer.Version, Layout: answer.Layout}
--- /dev/null
+++ b/internal/edge/targetclient/health.go
@@ -0,0 +1,42 @@
+package targetclient
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/targetapi"
+)
+
+// healthTimeout bounds one poll of a health endpoint.
+const healthTimeout = 500 * time.Millisecond
+
+// Health asks the target's health endpoint. What it says lags and may mislead; the
+// engine decides what to make of it.
+func (c *Client) Health(spec *release.Target) *engine.Health {
+	h := &engine.Health{Name: spec.Name}
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod("GET")
+	req.SetRequestURI("http://" + spec.Address + targetapi.PathHealth)
+	if err := c.http.DoTimeout(context.Background(), req, resp, healthTimeout); err != nil {
+		return h
+	}
+	var reply targetapi.HealthReply
+	if err := json.Unmarshal(resp.Body(), &reply); err != nil {
+		return h
+	}
+	h.Reachable = true
+	h.Incarnation = reply.Incarnation
+	h.Cold = reply.Cold
+	h.Leaving = reply.Leaving
+	for _, s := range reply.Snapshots {
+		h.Snapshots = append(h.Snapshots, release.Key{Version: s.Version, Layout: s.Layout})
+	}
+	return h
+}
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -62,6 +62,6 @@
 		return
 	}
 	if err := d.workers.Submit(func() { d.replies(d.client.Do(w.send)) }); err != nil {
-		d.replies(&engine.Reply{Attempt: w.send.Attempt, Target: w.send.Target, Outcome: engine.Unreachable})
+		d.replies(&engine.Reply{Attempt: w.send.Attempt, Target: w.send.Target, Outcome: engine.Unsent})
 	}
 }
--- /dev/null
+++ b/internal/node/health.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/duty"
+)
+
+// pollPause is the time between two polls of a host, whatever the number of targets:
+// the load that health checks put on the fleet does not grow with it.
+const pollPause = 50 * time.Millisecond
+
+// health is the duty that polls the targets' health endpoints in turn.
+type health struct {
+	poll  func(*release.Target) *engine.Health
+	emit  func(engine.Event) bool
+	state atomic.Pointer[release.State]
+	stop  chan struct{}
+}
+
+func newHealth(poll func(*release.Target) *engine.Health, emit func(engine.Event) bool) *health {
+	return &health{poll: poll, emit: emit, stop: make(chan struct{})}
+}
+
+// setState names the targets to poll from now on.
+func (h *health) setState(s *release.State) { h.state.Store(s) }
+
+func (h *health) duty() duty.Duty {
+	return duty.Duty{Name: "health", Run: h.run, Stop: func() { close(h.stop) }}
+}
+
+func (h *health) run() {
+	tick := time.NewTicker(pollPause)
+	defer tick.Stop()
+	var state *release.State
+	var names []string
+	for next := 0; ; next++ {
+		select {
+		case <-h.stop:
+			return
+		case <-tick.C:
+		}
+		if s := h.state.Load(); s != state {
+			state = s
+			names = slices.Sorted(maps.Keys(s.Targets))
+		}
+		if len(names) == 0 {
+			continue
+		}
+		// A full ring drops the report: the next round brings a newer one.
+		h.emit(h.poll(state.Targets[names[next%len(names)]]))
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 	queries  *queries
 	dispatch *dispatch
 	control  *controller
+	health   *health
 	reader   *platform.Reader
 	front    *front.Front
 	admin    *admin.Admin
@@ -90,14 +91,17 @@
 		return err
 	}
 	n.queries.dispatch = n.dispatch.put
-	if err = n.duties.Start(n.dispatch.duty()); err != nil {
-		return err
+	n.health = newHealth(client.Health, n.queries.put)
+	for _, d := range []duty.Duty{n.dispatch.duty(), n.queries.duty(), n.health.duty()} {
+		if err = n.duties.Start(d); err != nil {
+			return err
+		}
 	}
-	return n.duties.Start(n.queries.duty())
+	return nil
 }
 
 func (n *Node) startControl() error {
-	n.control = newController(n.clock, n.log, func(ev engine.Event) bool { return n.queries.put(ev) })
+	n.control = newController(n.clock, n.log, n.inForce)
 	if err := n.duties.Start(n.control.duty()); err != nil {
 		return err
 	}
@@ -110,6 +114,14 @@
 	return n.duties.Start(duty.Duty{Name: "platform", Run: reader.Run, Stop: reader.Stop})
 }
 
+// inForce hands a state that is in force to the duties that use it.
+func (n *Node) inForce(ev engine.Event) bool {
+	if r, ok := ev.(*engine.Release); ok {
+		n.health.setState(r.State)
+	}
+	return n.queries.put(ev)
+}
+
 func (n *Node) listen() error {
 	var err error
 	limits := httpd.Limits{BodyBytes: n.settings.Limits.BodyBytes}
--- a/internal/node/queries.go
+++ b/internal/node/queries.go
@@ -131,7 +131,7 @@
 
 func (q *queries) send(s engine.Send) {
 	if !q.dispatch(work{send: &s}) {
-		q.unsent = append(q.unsent, &engine.Reply{Attempt: s.Attempt, Target: s.Target, Outcome: engine.Unreachable})
+		q.unsent = append(q.unsent, &engine.Reply{Attempt: s.Attempt, Target: s.Target, Outcome: engine.Unsent})
 	}
 }
 
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -31,6 +31,7 @@
 	ColdBudget int
 	Cold       bool
 	Leaving    bool
+	Faults     Faults
 }
 
 // Target is one stand-in target.
@@ -91,9 +92,13 @@
 		c.JSON(http.StatusBadRequest, targetapi.SearchReply{Status: targetapi.StatusBadRequest})
 		return
 	}
+	if t.denies(&req) {
+		c.JSON(http.StatusGone, t.reply(targetapi.StatusSnapshotGone, &req))
+		return
+	}
 	work, cancelled, ok := t.begin(req.Attempt)
 	if !ok {
-		c.JSON(http.StatusServiceUnavailable, t.reply(targetapi.StatusShed, nil))
+		c.JSON(http.StatusServiceUnavailable, t.reply(targetapi.StatusShed, &req))
 		return
 	}
 	defer t.end(req.Attempt)
@@ -102,12 +107,12 @@
 	select {
 	case <-timer.C:
 		if work > time.Duration(req.DeadlineMicros)*time.Microsecond {
-			c.JSON(http.StatusGatewayTimeout, t.reply(targetapi.StatusDeadline, nil))
+			c.JSON(http.StatusGatewayTimeout, t.reply(targetapi.StatusDeadline, &req))
 			return
 		}
 		c.JSON(http.StatusOK, t.reply(targetapi.StatusOK, &req))
 	case <-cancelled:
-		c.JSON(http.StatusGone, t.reply(targetapi.StatusCancelled, nil))
+		c.JSON(http.StatusGone, t.reply(targetapi.StatusCancelled, &req))
 	}
 }
 
@@ -148,15 +153,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := targetapi.SearchReply{
+		Attempt:     req.Attempt,
+		Target:      t.Name,
 		Status:      status,
 		Incarnation: t.incarnation,
 		Cold:        t.behaviour.Cold,
 		Leaving:     t.behaviour.Leaving,
 	}
-	if req != nil {
+	if status == targetapi.StatusOK {
 		r.Version, r.Layout, r.Shard = req.Version, req.Layout, req.Shard
 		r.Hits = hitsFor(req)
 		r.Count = len(r.Hits)
+		if t.behaviour.Faults.faulty() {
+			t.spoil(&r)
+		}
 	}
 	return r
 }
@@ -193,7 +203,12 @@
 func (t *Target) health(_ context.Context, c *app.RequestContext) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if lie := t.behaviour.Faults.HealthLie; lie != nil {
+		c.JSON(http.StatusOK, lie)
+		return
+	}
 	c.JSON(http.StatusOK, targetapi.HealthReply{
+		Snapshots:   t.behaviour.Faults.Holds,
 		Incarnation: t.incarnation,
 		Cold:        t.behaviour.Cold,
 		Leaving:     t.behaviour.Leaving,
--- a/internal/targetapi/api.go
+++ b/internal/targetapi/api.go
@@ -48,23 +48,34 @@
 }
 
 // SearchReply is a target's answer. Count must equal the number of hits: a reply in
-// which it does not was truncated.
+// which it does not was truncated. Attempt and Target repeat the request's attempt and
+// give the target's name, so that a crossed reply is told from the right one.
 type SearchReply struct {
-	Status      string `json:"status"`
-	Incarnation uint64 `json:"incarnation"`
-	Cold        bool   `json:"cold,omitempty"`
-	Leaving     bool   `json:"leaving,omitempty"`
-	Version     uint64 `json:"version"`
-	Layout      string `json:"layout"`
-	Shard       int32  `json:"shard"`
-	Count       int    `json:"count"`
-	Hits        []Hit  `json:"hits,omitempty"`
+	Attempt     AttemptRef `json:"attempt"`
+	Target      string     `json:"target"`
+	Status      string     `json:"status"`
+	Incarnation uint64     `json:"incarnation"`
+	Cold        bool       `json:"cold,omitempty"`
+	Leaving     bool       `json:"leaving,omitempty"`
+	Version     uint64     `json:"version"`
+	Layout      string     `json:"layout"`
+	Shard       int32      `json:"shard"`
+	Count       int        `json:"count"`
+	Hits        []Hit      `json:"hits,omitempty"`
+}
+
+// SnapshotRef names one snapshot of the target's service.
+type SnapshotRef struct {
+	Version uint64 `json:"version"`
+	Layout  string `json:"layout"`
 }
 
 // HealthReply is what a target says of itself.
 type HealthReply struct {
-	Incarnation uint64 `json:"incarnation"`
-	Cold        bool   `json:"cold"`
-	Leaving     bool   `json:"leaving"`
-	Running     int    `json:"running"`
+	// Snapshots are the index versions that the target holds.
+	Snapshots   []SnapshotRef `json:"snapshots,omitempty"`
+	Incarnation uint64        `json:"incarnation"`
+	Cold        bool          `json:"cold"`
+	Leaving     bool          `json:"leaving"`
+	Running     int           `json:"running"`
 }
