--- a/internal/core/engine/admit.go
+++ b/internal/core/engine/admit.go
@@ -8,7 +8,6 @@
 	"pollentack.example/pollentack/internal/core/query"
 	"pollentack.example/pollentack/internal/core/release"
 	"pollentack.example/pollentack/internal/core/result"
-	"pollentack.example/pollentack/internal/core/target"
 )
 
 // submit admits a request and starts its query, lets it wait, or refuses it as not run.
@@ -21,17 +20,17 @@
 		e.refuse(req.Key, err.Code, err.Detail, fx)
 		return
 	}
-	snap := e.chooseSnapshot(svc)
-	if snap == nil {
+	plan := e.chooseSnapshot(now, svc, nil)
+	if plan == nil {
 		e.refuse(req.Key, result.NoReplica, fmt.Sprintf("service %q has no servable snapshot", svc.Name), fx)
 		return
 	}
 	w := &waiter{req: req, arrived: now.Mono, deadline: now.Mono + timeoutOf(req, svc)}
-	if e.mayStart(now, svc, snap) && e.gate.waitingFor(svc.Name) == 0 {
-		e.start(now, w, svc, snap, fx)
+	if e.mayStart(now, svc, plan) && e.gate.waitingFor(svc.Name) == 0 {
+		e.start(now, w, svc, plan, fx)
 		return
 	}
-	e.enqueue(now, caller, svc, snap, w, fx)
+	e.enqueue(now, caller, svc, plan, w, fx)
 }
 
 func timeoutOf(req *query.Request, svc *release.Service) time.Duration {
@@ -64,50 +63,3 @@
 	}
 	return caller, svc, nil
 }
-
-// chooseSnapshot returns the newest snapshot whose every shard has a usable replica,
-// else the newest with any, else nil.
-func (e *Engine) chooseSnapshot(svc *release.Service) *release.Snapshot {
-	var partial *release.Snapshot
-	for _, snap := range svc.Snapshots {
-		usable := e.usableShards(snap)
-		if usable == len(snap.Shards) {
-			return snap
-		}
-		if usable > 0 && partial == nil {
-			partial = snap
-		}
-	}
-	return partial
-}
-
-func (e *Engine) usableShards(snap *release.Snapshot) int {
-	n := 0
-	for _, replicas := range e.plans[snap] {
-		if _, usable := e.targets.Pick(replicas, target.None); usable {
-			n++
-		}
-	}
-	return n
-}
-
-func (e *Engine) start(now clock.Instant, w *waiter, svc *release.Service, snap *release.Snapshot, fx *Effects) {
-	req := w.req
-	e.nextID++
-	q := &query.Query{
-		ID:       e.nextID,
-		Request:  req,
-		Policy:   svc.Policy,
-		Snapshot: snap,
-		Replicas: e.plans[snap],
-		Started:  w.arrived,
-		Deadline: w.deadline,
-		Slots:    make([]query.Slot, len(snap.Shards)),
-	}
-	e.queries[q.ID] = q
-	e.byKey[req.Key] = q.ID
-	e.counters.Queries++
-	e.gate.started(q.ID, svc.Name, now.Mono)
-	e.timers.arm(timer{due: q.Deadline, query: q.ID, kind: timerDeadline})
-	e.scatter(now, q, fx)
-}
--- a/internal/core/engine/cold.go
+++ b/internal/core/engine/cold.go
@@ -1,15 +1,12 @@
 package engine
 
 import (
-	"maps"
-	"slices"
-
 	"pollentack.example/pollentack/internal/core/clock"
 	"pollentack.example/pollentack/internal/core/target"
 )
 
-// observe takes what the end of an attempt says of its target.
-func (e *Engine) observe(r *Reply) {
+// observeTarget takes what the end of an attempt says of its target.
+func (e *Engine) observeTarget(r *Reply) {
 	e.targets.Done(r.Target, r.Elapsed, r.Outcome == Answered)
 	e.targets.Observe(r.Target, target.Sign{
 		Incarnation:  r.Incarnation,
@@ -28,15 +25,10 @@
 }
 
 // observeHealth takes a health endpoint's word for bad news only: it lags, so it makes
-// a target cold or leaving, but never warm.
+// a target cold, but never warm.
 func (e *Engine) observeHealth(h *Health) {
-	entry := e.targets.Entry(h.Target)
-	if !h.Reachable || h.Incarnation < entry.Incarnation {
-		return
-	}
-	e.targets.ObserveHealth(h.Target, h.Incarnation, h.Cold)
-	if h.Leaving {
-		e.targets.ObserveLeaving(h.Target)
+	if h.Reachable {
+		e.targets.ObserveHealth(h.Target, h.Incarnation, h.Cold)
 	}
 }
 
@@ -97,20 +89,13 @@
 	case timerTurn:
 		e.turnDue = false
 		e.targets.SettleAll()
-		e.resumeAll(now, fx)
+		e.wakeAll(now, fx)
 	case timerQueue:
 		e.gate.sweeping = false
 		e.expireQueued(now, fx)
-		e.armSweep(now)
+		e.armQueueSweep(now)
 	default:
 		return false
 	}
 	return true
 }
-
-// resumeAll sends what waits for targets that have just taken their turn.
-func (e *Engine) resumeAll(now clock.Instant, fx *Effects) {
-	for _, service := range slices.Sorted(maps.Keys(e.waiting)) {
-		e.resume(now, service, fx)
-	}
-}
--- a/internal/core/engine/gate.go
+++ b/internal/core/engine/gate.go
@@ -54,9 +54,10 @@
 	hosts    int
 	services map[string]*serviceGate
 	// order lists the services, the most critical first.
-	order    []*serviceGate
-	buckets  map[string]*admission.Bucket
-	running  map[query.ID]run
+	order   []*serviceGate
+	buckets map[string]*admission.Bucket
+	// running holds the queries in progress by their request's key.
+	running  map[uint64]run
 	counters AdmissionCounters
 }
 
@@ -83,7 +84,7 @@
 		bound:    bound,
 		services: map[string]*serviceGate{},
 		buckets:  map[string]*admission.Bucket{},
-		running:  map[query.ID]run{},
+		running:  map[uint64]run{},
 	}
 }
 
@@ -127,19 +128,19 @@
 
 func (g *gate) waitingFor(service string) int { return g.service(service).queue.Len() }
 
-func (g *gate) started(id query.ID, service string, now time.Duration) {
+func (g *gate) started(key uint64, service string, now time.Duration) {
 	sg := g.service(service)
 	sg.running++
-	g.running[id] = run{service: sg, begin: now}
+	g.running[key] = run{service: sg, begin: now}
 }
 
 // ended takes the end of a query; only whole answers tell how long one takes.
-func (g *gate) ended(id query.ID, code result.Code, now time.Duration) {
-	r, ok := g.running[id]
+func (g *gate) ended(key uint64, code result.Code, now time.Duration) {
+	r, ok := g.running[key]
 	if !ok {
 		return
 	}
-	delete(g.running, id)
+	delete(g.running, key)
 	r.service.running--
 	if code == result.OK {
 		r.service.usual += (now - r.begin - r.service.usual) / usualWeight
@@ -161,7 +162,7 @@
 }
 
 // mayStart reports whether one more query of the service may be in progress.
-func (e *Engine) mayStart(now clock.Instant, svc *release.Service, snap *release.Snapshot) bool {
+func (e *Engine) mayStart(now clock.Instant, svc *release.Service, plan *query.Plan) bool {
 	if e.gate.bound == 0 {
 		return len(e.queries) < e.cfg.MaxQueries
 	}
@@ -171,7 +172,7 @@
 	}
 	sg := e.gate.service(svc.Name)
 	if sg.capacity == 0 || now.Mono-sg.capacityAt >= capacityAge {
-		sg.capacity = capacityFactor * e.capacity(e.plans[snap])
+		sg.capacity = capacityFactor * e.capacity(plan)
 		sg.capacityAt = now.Mono
 	}
 	return sg.running < sg.capacity
@@ -179,13 +180,13 @@
 
 // capacity is the number of queries whose every shard fits under the targets' limits at
 // once, at least 1. Shards with no warm replica do not count: waiting does not help them.
-func (e *Engine) capacity(p plan) int {
+func (e *Engine) capacity(p *query.Plan) int {
 	least := 0
 	total := 0
 	seen := map[target.ID]bool{}
-	for _, replicas := range p {
+	for i := range p.Groups {
 		shard := 0
-		for _, id := range replicas {
+		for _, id := range p.Groups[i].Replicas {
 			limit := e.targets.WarmLimit(id)
 			shard += limit
 			if !seen[id] {
@@ -197,19 +198,19 @@
 			least = shard
 		}
 	}
-	return max(1, min(least, total/max(1, len(p))))
+	return max(1, min(least, total/max(1, len(p.Groups))))
 }
 
 // enqueue lets an admitted request wait. With the queue full, what is past hope goes
 // first, then the newest of the least critical service's longest caller.
-func (e *Engine) enqueue(now clock.Instant, caller *release.Caller, svc *release.Service, snap *release.Snapshot, w *waiter, fx *Effects) {
+func (e *Engine) enqueue(now clock.Instant, caller *release.Caller, svc *release.Service, plan *query.Plan, w *waiter, fx *Effects) {
 	sg := e.gate.service(svc.Name)
 	if e.gate.bound == 0 {
 		e.refuseFull(w, fx)
 		return
 	}
 	hopeless := w.deadline - min(sg.usual, (w.deadline-w.arrived)/2)
-	sg.queue.Push(admission.Waiter[*waiter]{Caller: caller.Name, Cost: len(snap.Shards), Hopeless: hopeless, Value: w})
+	sg.queue.Push(admission.Waiter[*waiter]{Caller: caller.Name, Cost: len(plan.Groups), Hopeless: hopeless, Value: w})
 	e.gate.size++
 	e.gate.counters.Queued++
 	if e.gate.size > e.gate.bound {
@@ -218,10 +219,10 @@
 	if e.gate.size > e.gate.bound {
 		e.evict(fx)
 	}
-	e.armSweep(now)
+	e.armQueueSweep(now)
 }
 
-func (e *Engine) armSweep(now clock.Instant) {
+func (e *Engine) armQueueSweep(now clock.Instant) {
 	if e.gate.sweeping || e.gate.size == 0 {
 		return
 	}
@@ -286,12 +287,12 @@
 			e.refuseWaiters(sg, result.ServiceUnknown, "the service has been withdrawn", fx)
 			return
 		}
-		snap := e.chooseSnapshot(svc)
-		if snap == nil {
+		plan := e.chooseSnapshot(now, svc, nil)
+		if plan == nil {
 			e.refuseWaiters(sg, result.NoReplica, "the service has no servable snapshot", fx)
 			return
 		}
-		if !e.mayStart(now, svc, snap) {
+		if !e.mayStart(now, svc, plan) {
 			return
 		}
 		w, _ := sg.queue.Pop()
@@ -300,7 +301,7 @@
 			e.refusePastHope(w.Value, fx)
 			continue
 		}
-		e.start(now, w.Value, svc, snap, fx)
+		e.start(now, w.Value, svc, plan, fx)
 	}
 }
 
--- a/internal/core/engine/oncerun.go
+++ b/internal/core/engine/oncerun.go
@@ -127,7 +127,7 @@
 		return
 	}
 	run.sent = false
-	e.observe(&Reply{
+	e.observeTarget(&Reply{
 		Target:      r.Target,
 		Outcome:     r.Outcome,
 		Incarnation: r.Incarnation,
--- a/internal/core/target/table.go
+++ b/internal/core/target/table.go
@@ -22,6 +22,7 @@
 
 // Entry is what the host knows of one target.
 type Entry struct {
+	Standing
 	Spec *release.Target
 	Warmth
 	Limiter  Limiter
@@ -232,7 +233,8 @@
 	case e.Cold:
 		return e.InFlight < min(t.coldBudget(e), searchQuota(e.Quota))
 	case !e.Heard() && !t.options.NoWarmUp:
-		return e.InFlight == 0
+		// It may be cold: until the first reply it gets this host's share of the budget.
+		return e.InFlight < FairShare(e.Spec.ColdBudget, t.roster.size())
 	}
 	return e.InFlight < e.Limiter.Limit()
 }
--- a/internal/edge/targetclient/client.go
+++ b/internal/edge/targetclient/client.go
@@ -71,7 +71,7 @@
 	left := s.Deadline - begin
 	dials := c.conns.acquire(s.Spec.Address, s.Quota)
 	defer c.conns.release(s.Spec.Address)
-	reply := &engine.Reply{Attempt: s.Attempt, Target: s.Target, Outcome: engine.Unreachable}
+	reply := &engine.Reply{Attempt: s.Attempt, Target: s.Target, Outcome: engine.Unsent}
 	if left <= 0 {
 		return reply
 	}
@@ -94,7 +94,7 @@
 		reply.Outcome = outcomeOfError(err)
 		reply.Disconnected = !errors.Is(err, errs.ErrTimeout)
 	} else {
-		fill(reply, &answer)
+		fill(reply, &answer, c.ref(s.Attempt), s.Spec.Name)
 	}
 	span.End(attribute.String("outcome", reply.Outcome.String()))
 	return reply
@@ -189,7 +189,13 @@
 	targetapi.StatusCancelled:    engine.Cancelled,
 }
 
-func fill(reply *engine.Reply, answer *targetapi.SearchReply) {
+// fill takes the target's word. A reply that names another attempt or target is
+// crossed: what became of this attempt is not known, and nothing it says is believed.
+func fill(reply *engine.Reply, answer *targetapi.SearchReply, ref targetapi.AttemptRef, name string) {
+	if answer.Attempt != ref || answer.Target != name {
+		reply.Outcome = engine.Crossed
+		return
+	}
 	outcome, ok := outcomes[answer.Status]
 	if !ok {
 		outcome = engine.Lost
@@ -201,8 +207,12 @@
 	if outcome != engine.Answered {
 		return
 	}
-	if answer.Count != len(answer.Hits) || answer.Shard != reply.Attempt.Shard {
-		reply.Outcome = engine.Lost
+	if answer.Shard != ref.Shard {
+		reply.Outcome = engine.Crossed
+		return
+	}
+	if answer.Count != len(answer.Hits) {
+		reply.Outcome = engine.Truncated
 		return
 	}
 	reply.Snapshot = release.Key{Version: answer.Version, Layout: answer.Layout}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -32,6 +32,7 @@
 	Cold       bool
 	Leaving    bool
 	Warming    Warming
+	Faults     Faults
 }
 
 // Target is one stand-in target.
@@ -101,12 +102,16 @@
 		return
 	}
 	if expired(&req) {
-		c.JSON(http.StatusServiceUnavailable, t.reply(targetapi.StatusCold, nil))
+		c.JSON(http.StatusServiceUnavailable, t.reply(targetapi.StatusCold, &req))
+		return
+	}
+	if t.denies(&req) {
+		c.JSON(http.StatusGone, t.reply(targetapi.StatusSnapshotGone, &req))
 		return
 	}
 	job, ok := t.begin(req.Attempt)
 	if !ok {
-		c.JSON(http.StatusServiceUnavailable, t.reply(targetapi.StatusShed, nil))
+		c.JSON(http.StatusServiceUnavailable, t.reply(targetapi.StatusShed, &req))
 		return
 	}
 	defer t.end(req.Attempt, &job)
@@ -116,13 +121,13 @@
 	select {
 	case <-timer.C:
 		if job.work > limit {
-			c.JSON(http.StatusGatewayTimeout, t.reply(targetapi.StatusDeadline, nil))
+			c.JSON(http.StatusGatewayTimeout, t.reply(targetapi.StatusDeadline, &req))
 			return
 		}
 		job.answered = true
 		c.JSON(http.StatusOK, t.reply(targetapi.StatusOK, &req))
 	case <-job.cancelled:
-		c.JSON(http.StatusGone, t.reply(targetapi.StatusCancelled, nil))
+		c.JSON(http.StatusGone, t.reply(targetapi.StatusCancelled, &req))
 	}
 }
 
@@ -181,15 +186,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := targetapi.SearchReply{
+		Attempt:     req.Attempt,
+		Target:      t.Name,
 		Status:      status,
 		Incarnation: t.incarnation,
 		Cold:        t.behaviour.Cold,
 		Leaving:     t.behaviour.Leaving,
 	}
-	if req != nil {
+	if status == targetapi.StatusOK {
 		r.Version, r.Layout, r.Shard = req.Version, req.Layout, req.Shard
 		r.Hits = hitsFor(req)
 		r.Count = len(r.Hits)
+		if t.behaviour.Faults.faulty() {
+			t.spoil(&r)
+		}
 	}
 	return r
 }
@@ -227,7 +237,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.warmByTime()
+	if lie := t.behaviour.Faults.HealthLie; lie != nil {
+		c.JSON(http.StatusOK, lie)
+		return
+	}
 	c.JSON(http.StatusOK, targetapi.HealthReply{
+		Snapshots:   t.behaviour.Faults.Holds,
 		Incarnation: t.incarnation,
 		Cold:        t.behaviour.Cold,
 		Leaving:     t.behaviour.Leaving,
