Join tickets to hosts: front, targets, peers, settings and the stop

Cause: the core of tickets needs its edges: HTTP for callers, POST /v1/run for targets, calls between hosts, and a stop that hands the records over. Change: a run is one POST that the client never repeats; only statuses that say so count as not run; a full ring or a lost call is unknown, never "not run". Stop fails the check, waits for the balancer, drains, hands over and leaves; Hurry or the limit ends it.

--- a/cmd/pollentack/main.go
+++ b/cmd/pollentack/main.go
@@ -26,6 +26,8 @@
 	Serve      serveCmd      `cmd:"" help:"Run one entry host."`
 	Standin    standinCmd    `cmd:"" help:"Run a stand-in platform and stand-in targets."`
 	Query      queryCmd      `cmd:"" help:"Send one query to a host and print the answer."`
+	Ticket     ticketCmd     `cmd:"" help:"Get a ticket for a request that runs at most once."`
+	Once       onceCmd       `cmd:"" help:"Send a request that runs at most once, or learn its outcome."`
 	Status     statusCmd     `cmd:"" help:"Show what hosts have in force and what differs between them."`
 	Settings   settingsCmd   `cmd:"" help:"Work with settings files."`
 	Note       noteCmd       `cmd:"" help:"Work with release notes, offline."`
--- a/cmd/pollentack/serve.go
+++ b/cmd/pollentack/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/trace"
 	"pollentack.example/pollentack/internal/node"
 	"pollentack.example/pollentack/internal/settings"
@@ -19,7 +20,7 @@
 }
 
 // Run serves until SIGINT or SIGTERM, then shuts down gracefully; a second signal ends
-// the process at once.
+// the waiting.
 func (cmd *serveCmd) Run() error {
 	s, err := settings.Load(cmd.Settings)
 	if err != nil {
@@ -34,14 +35,36 @@
 	if err != nil {
 		return err
 	}
+	signals := stopSignals()
 	select {
-	case sig := <-stopSignals():
+	case sig := <-signals:
 		log.Info().Str("event", "stop_requested").Str("signal", sig.String()).Send()
-		signal.Reset()
 	case err = <-n.Failed():
 	}
-	n.Stop()
-	return errors.Join(err, tracer.Close())
+	return errors.Join(err, stopNode(n, signals, &log), tracer.Close())
+}
+
+// stopNode stops the host on a thread of its own, so that a second signal can hurry it.
+func stopNode(n *node.Node, signals <-chan os.Signal, log *zerolog.Logger) error {
+	stopped := make(chan struct{})
+	group, err := duty.NewGroup(1, func(string, error) {})
+	if err != nil {
+		return err
+	}
+	defer group.Stop()
+	stop := func() {
+		defer close(stopped)
+		n.Stop()
+	}
+	if err := group.Start(duty.Duty{Name: "stop", Run: stop, Stop: n.Hurry}); err != nil {
+		return err
+	}
+	select {
+	case <-stopped:
+	case sig := <-signals:
+		log.Warn().Str("event", "stop_hurried").Str("signal", sig.String()).Send()
+	}
+	return nil
 }
 
 func newLogger(s *settings.Settings) zerolog.Logger {
@@ -54,7 +77,7 @@
 }
 
 func stopSignals() <-chan os.Signal {
-	ch := make(chan os.Signal, 1)
+	ch := make(chan os.Signal, 2)
 	signal.Notify(ch, os.Interrupt, syscall.SIGTERM)
 	return ch
 }
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -63,10 +63,16 @@
 	server *httpd.Server
 }
 
-// Start listens on address. submit hands a request over and reports whether it was taken.
-func Start(address string, limits httpd.Limits, tracer *trace.Tracer, submit func(*engine.Submit) bool) (*Front, error) {
+// Start listens on address. submit hands a request over and reports whether it was
+// taken; routes add further paths.
+func Start(address string, limits httpd.Limits, tracer *trace.Tracer, submit func(*engine.Submit) bool, routes ...func(*server.Hertz)) (*Front, error) {
 	f := &Front{submit: submit, tracer: tracer, waiting: map[uint64]chan engine.Answer{}}
-	s, err := httpd.Start(address, limits, f.routes)
+	s, err := httpd.Start(address, limits, func(h *server.Hertz) {
+		f.routes(h)
+		for _, route := range routes {
+			route(h)
+		}
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -95,10 +101,20 @@
 }
 
 func (f *Front) routes(h *server.Hertz) {
+	h.Use(f.closeWhenLeaving)
 	h.POST("/v1/services/:service/query", f.query)
 	h.GET("/healthz", f.healthz)
 }
 
+// closeWhenLeaving tells callers to end their connections once the balancer's check
+// fails, so that none is idle when the listener closes.
+func (f *Front) closeWhenLeaving(ctx context.Context, c *app.RequestContext) {
+	c.Next(ctx)
+	if f.refused.Load() {
+		c.Response.Header.SetConnectionClose(true)
+	}
+}
+
 func (f *Front) healthz(_ context.Context, c *app.RequestContext) {
 	if f.refused.Load() {
 		c.String(http.StatusServiceUnavailable, "leaving\n")
--- /dev/null
+++ b/internal/edge/front/once.go
@@ -0,0 +1,115 @@
+package front
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"go.opentelemetry.io/otel/attribute"
+
+	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/result"
+	"pollentack.example/pollentack/internal/edge/await"
+	"pollentack.example/pollentack/internal/edge/trace"
+)
+
+// OnceBody is the JSON body of a request that runs at most once.
+type OnceBody struct {
+	Ticket    string `json:"ticket"`
+	Body      string `json:"body"`
+	TimeoutMS int64  `json:"timeout_ms"`
+}
+
+// OnceAnswerBody is the JSON body of every answer to a ticket's or once request.
+type OnceAnswerBody struct {
+	Code   result.Code `json:"code"`
+	Name   string      `json:"name"`
+	Detail string      `json:"detail,omitempty"`
+	// Ticket and ExpiresMS, in Unix milliseconds, answer a request for a ticket.
+	Ticket    string `json:"ticket,omitempty"`
+	ExpiresMS int64  `json:"expires_ms,omitempty"`
+	Target    string `json:"target,omitempty"`
+	Output    string `json:"output,omitempty"`
+}
+
+// Once takes tickets' requests for the engine.
+type Once struct {
+	submit  func(engine.Event) bool
+	waiters *await.Waiters[engine.OnceAnswer]
+	tracer  *trace.Tracer
+}
+
+// NewOnce returns the handlers; submit hands an event over and reports whether it was
+// taken.
+func NewOnce(submit func(engine.Event) bool, waiters *await.Waiters[engine.OnceAnswer], tracer *trace.Tracer) *Once {
+	return &Once{submit: submit, waiters: waiters, tracer: tracer}
+}
+
+// Routes adds the paths to a listener.
+func (o *Once) Routes(h *server.Hertz) {
+	h.POST("/v1/services/:service/tickets", o.ticket)
+	h.POST("/v1/services/:service/once", o.once)
+}
+
+func (o *Once) ticket(_ context.Context, c *app.RequestContext) {
+	answer, ok := o.waiters.Await(func(key uint64) bool {
+		return o.submit(&engine.TicketRequest{Key: key, KeyHash: sha256.Sum256([]byte(bearer(c))), Service: c.Param("service")})
+	})
+	if !ok {
+		answer = engine.OnceAnswer{Code: result.QueueFull, Detail: "the host's ring of new queries is full"}
+	}
+	writeOnce(c, &answer)
+}
+
+func (o *Once) once(_ context.Context, c *app.RequestContext) {
+	var body OnceBody
+	if err := json.Unmarshal(c.Request.Body(), &body); err != nil {
+		writeOnce(c, &engine.OnceAnswer{Code: result.BadRequest, Detail: err.Error()})
+		return
+	}
+	req := &engine.OnceRequest{
+		KeyHash: sha256.Sum256([]byte(bearer(c))),
+		Service: c.Param("service"),
+		Body:    []byte(body.Body),
+		Timeout: max(0, time.Duration(body.TimeoutMS)) * time.Millisecond,
+	}
+	if body.Ticket != "" {
+		ticket, err := DecodeTicket(body.Ticket)
+		if err != nil {
+			writeOnce(c, &engine.OnceAnswer{Code: result.TicketInvalid, Detail: err.Error()})
+			return
+		}
+		req.Ticket = ticket
+	}
+	span := o.tracer.Start(string(c.GetHeader(trace.Header)), "once", attribute.String("service", req.Service))
+	req.TraceParent = span.Context()
+	answer := o.await(req)
+	span.End(attribute.Int("code", int(answer.Code)))
+	writeOnce(c, &answer)
+}
+
+// await blocks until the request's answer. A full ring is no "not run": an earlier copy
+// of the request may have reached the ticket's home.
+func (o *Once) await(req *engine.OnceRequest) engine.OnceAnswer {
+	answer, ok := o.waiters.Await(func(key uint64) bool {
+		req.Key = key
+		return o.submit(&engine.OnceSubmit{Request: req})
+	})
+	if !ok {
+		return engine.OnceAnswer{Code: result.OutcomeUnknown, Detail: "the host's ring of new queries is full; send it again"}
+	}
+	return answer
+}
+
+func writeOnce(c *app.RequestContext, a *engine.OnceAnswer) {
+	info := a.Code.Info()
+	body := OnceAnswerBody{Code: a.Code, Name: info.Name, Detail: a.Detail, Target: a.Target, Output: string(a.Output)}
+	if a.Ticket != nil {
+		body.Ticket = EncodeTicket(a.Ticket)
+		body.ExpiresMS = a.Ticket.Expiry.Milliseconds()
+	}
+	c.JSON(info.HTTP, body)
+}
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -16,6 +16,7 @@
 	workers *duty.Workers
 	client  *targetclient.Client
 	replies func(engine.Event) bool
+	peers   *oncePeers
 }
 
 // newDispatch returns a dispatch with a worker for each of connections.
@@ -61,7 +62,20 @@
 		_ = d.workers.Submit(func() { d.client.Cancel(w.cancel) })
 		return
 	}
-	if err := d.workers.Submit(func() { d.replies(d.client.Do(w.send)) }); err != nil {
-		d.replies(&engine.Reply{Attempt: w.send.Attempt, Target: w.send.Target, Outcome: engine.Unreachable})
+	if err := d.workers.Submit(func() { d.replies(d.carryOut(w)) }); err != nil {
+		d.replies(w.unsent())
 	}
 }
+
+// carryOut makes the call of w and returns how it ended.
+func (d *dispatch) carryOut(w work) engine.Event {
+	switch {
+	case w.run != nil:
+		return d.client.Run(w.run)
+	case w.forward != nil:
+		return d.peers.forward(w.forward)
+	case w.handover != nil:
+		return d.peers.handOver(w.handover)
+	}
+	return d.client.Do(w.send)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"pollentack.example/pollentack/internal/core/engine"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/admin"
+	"pollentack.example/pollentack/internal/edge/await"
 	"pollentack.example/pollentack/internal/edge/front"
 	"pollentack.example/pollentack/internal/edge/httpd"
 	"pollentack.example/pollentack/internal/edge/platform"
@@ -44,21 +45,31 @@
 	front    *front.Front
 	admin    *admin.Admin
 
-	stopOnce sync.Once
-	failed   chan error
+	once    *oncePeers
+	tickets *front.Once
+
+	stopOnce  sync.Once
+	hurryOnce sync.Once
+	hurry     chan struct{}
+	failed    chan error
 }
 
 // Options are what the process gives its host beside the settings.
 type Options struct {
 	Log    zerolog.Logger
 	Tracer *trace.Tracer
+	// Peers replaces the mesh where it is set.
+	Peers Peers
 }
 
 // Start runs a host until Stop. Listeners open last, so that no request meets a host
 // whose duties do not run yet.
 func Start(s *settings.Settings, o Options) (*Node, error) {
-	n := &Node{settings: s, log: o.Log, tracer: o.Tracer, clock: wallclock.New(), failed: make(chan error, maxDuties)}
-	if err := n.start(); err != nil {
+	n := &Node{settings: s, log: o.Log, tracer: o.Tracer, clock: wallclock.New(), failed: make(chan error, maxDuties), hurry: make(chan struct{})}
+	if o.Peers == nil {
+		o.Peers = noPeers{}
+	}
+	if err := n.start(o.Peers); err != nil {
 		n.Stop()
 		return nil, fmt.Errorf("start host %q: %w", s.Host.Name, err)
 	}
@@ -66,12 +77,12 @@
 	return n, nil
 }
 
-func (n *Node) start() error {
+func (n *Node) start(peers Peers) error {
 	var err error
 	if n.duties, err = duty.NewGroup(maxDuties, n.dutyFailed); err != nil {
 		return err
 	}
-	if err = n.startQueries(); err != nil {
+	if err = n.startQueries(peers); err != nil {
 		return err
 	}
 	if err = n.startControl(); err != nil {
@@ -80,20 +91,33 @@
 	return n.listen()
 }
 
-func (n *Node) startQueries() error {
+func (n *Node) startQueries(peers Peers) error {
 	client, err := targetclient.New(n.settings.Host.Name, n.clock, n.tracer)
 	if err != nil {
 		return err
 	}
-	n.queries = newQueries(n.settings, n.clock)
+	tickets, err := onceConfig(n.settings)
+	if err != nil {
+		return err
+	}
+	n.queries = newQueries(n.settings, n.clock, &tickets)
+	waiters := await.New[engine.OnceAnswer]()
+	n.queries.deliverOnce = waiters.Deliver
+	n.once = &oncePeers{peers: peers, clock: n.clock, submit: n.queries.submit, waiters: waiters}
+	n.tickets = front.NewOnce(n.queries.submit, waiters, n.tracer)
 	if n.dispatch, err = newDispatch(n.settings.Limits.Connections, client, n.queries.put); err != nil {
 		return err
 	}
+	n.dispatch.peers = n.once
 	n.queries.dispatch = n.dispatch.put
 	if err = n.duties.Start(n.dispatch.duty()); err != nil {
 		return err
 	}
-	return n.duties.Start(n.queries.duty())
+	if err = n.duties.Start(n.queries.duty()); err != nil {
+		return err
+	}
+	n.once.handle()
+	return nil
 }
 
 func (n *Node) startControl() error {
@@ -113,7 +137,7 @@
 func (n *Node) listen() error {
 	var err error
 	limits := httpd.Limits{BodyBytes: n.settings.Limits.BodyBytes}
-	n.front, err = front.Start(n.settings.Listen.Front, limits, n.tracer, func(s *engine.Submit) bool { return n.queries.submit(s) })
+	n.front, err = front.Start(n.settings.Listen.Front, limits, n.tracer, func(s *engine.Submit) bool { return n.queries.submit(s) }, n.tickets.Routes)
 	if err != nil {
 		return err
 	}
@@ -135,23 +159,3 @@
 
 // AdminAddress returns where operators reach the host.
 func (n *Node) AdminAddress() string { return n.admin.Address() }
-
-// Stop is the graceful shutdown: it fails the balancer's check, lets every request in
-// progress end and then stops the duties.
-func (n *Node) Stop() { n.stopOnce.Do(n.stop) }
-
-func (n *Node) stop() {
-	if n.front != nil {
-		n.front.FailHealth()
-		n.queries.put(&engine.Drain{})
-		n.queries.awaitIdle()
-		n.front.Stop()
-	}
-	if n.admin != nil {
-		n.admin.Stop()
-	}
-	if n.duties != nil {
-		n.duties.Stop()
-	}
-	n.log.Info().Str("event", "host_stopped").Send()
-}
--- a/internal/node/queries.go
+++ b/internal/node/queries.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/once"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/wallclock"
 	"pollentack.example/pollentack/internal/ring"
@@ -16,14 +17,28 @@
 	stepBatch = 256
 	// controlReserve is the room for events that are neither queries nor replies.
 	controlReserve = 1024
-	// idlePoll is the wait between looks at a draining host.
-	idlePoll = 10 * time.Millisecond
 )
 
 // work is one element of the dispatch ring; one field is set.
 type work struct {
-	send   *engine.Send
-	cancel *engine.Cancel
+	send     *engine.Send
+	cancel   *engine.Cancel
+	run      *engine.RunSend
+	forward  *engine.Forward
+	handover *engine.Handover
+}
+
+// unsent is the end of work that was never begun.
+func (w work) unsent() engine.Event {
+	switch {
+	case w.run != nil:
+		return &engine.RunReply{Run: w.run.Run, Try: w.run.Try, Target: w.run.Target, Outcome: engine.Unreachable}
+	case w.forward != nil:
+		return &engine.Forwarded{Key: w.forward.Key}
+	case w.handover != nil:
+		return &engine.HandoverDone{Number: w.handover.Chunk.Number, NeverSent: true}
+	}
+	return &engine.Reply{Attempt: w.send.Attempt, Target: w.send.Target, Outcome: engine.Unreachable}
 }
 
 // queries is the duty that owns the engine.
@@ -36,9 +51,12 @@
 	dispatch func(work) bool
 	deliver  atomic.Pointer[func(*engine.Answer)]
 
-	// unsent are replies for sends that the dispatch ring refused.
-	unsent  []*engine.Reply
+	deliverOnce func(uint64, engine.OnceAnswer)
+	// unsent are replies for work that the dispatch ring refused.
+	unsent  []engine.Event
 	counted atomic.Pointer[engineStatus]
+	// changed holds at most one token, put after each change of counted.
+	changed chan struct{}
 }
 
 // engineStatus is what the duty last published of its engine.
@@ -46,13 +64,16 @@
 	Counters   engine.Counters `json:"counters"`
 	InProgress int             `json:"in_progress"`
 	Draining   bool            `json:"draining"`
+	Tickets    int             `json:"tickets"`
+	HandedOver bool            `json:"handed_over"`
 }
 
-func newQueries(s *settings.Settings, clk wallclock.Clock) *queries {
+func newQueries(s *settings.Settings, clk wallclock.Clock, tickets *once.Config) *queries {
 	reserve := s.Limits.Connections + controlReserve
 	q := &queries{
 		clock:   clk,
 		reserve: reserve,
+		changed: make(chan struct{}, 1),
 		inbox:   ring.New[engine.Event]("queries", s.Limits.Queries+reserve),
 		engine: engine.New(engine.Config{
 			Host:       s.Host.Name,
@@ -60,6 +81,7 @@
 			Seed:       uint64(s.Policy.Seed),
 			MaxQueries: s.Limits.Queries,
 			Hedge:      s.Policy.Hedge,
+			Once:       *tickets,
 		}),
 	}
 	q.setDeliver(func(*engine.Answer) {})
@@ -70,7 +92,7 @@
 func (q *queries) setDeliver(deliver func(*engine.Answer)) { q.deliver.Store(&deliver) }
 
 // submit puts a new query; a full ring refuses it as not run.
-func (q *queries) submit(s *engine.Submit) bool { return q.inbox.PutReserving(s, q.reserve) }
+func (q *queries) submit(ev engine.Event) bool { return q.inbox.PutReserving(ev, q.reserve) }
 
 // put puts any other event. Its room is reserved: there are no more replies in
 // progress than workers.
@@ -119,8 +141,10 @@
 			q.dispatch(work{cancel: &x})
 		}
 		for i := range fx.Sends {
-			q.send(fx.Sends[i])
+			x := fx.Sends[i]
+			q.send(work{send: &x})
 		}
+		q.carryOutOnce(&fx.OnceEffects)
 		fx.Reset()
 		if len(q.unsent) == 0 {
 			return
@@ -129,9 +153,27 @@
 	}
 }
 
-func (q *queries) send(s engine.Send) {
-	if !q.dispatch(work{send: &s}) {
-		q.unsent = append(q.unsent, &engine.Reply{Attempt: s.Attempt, Target: s.Target, Outcome: engine.Unreachable})
+func (q *queries) carryOutOnce(fx *engine.OnceEffects) {
+	for i := range fx.OnceAnswers {
+		q.deliverOnce(fx.OnceAnswers[i].Key, fx.OnceAnswers[i])
+	}
+	for i := range fx.RunSends {
+		x := fx.RunSends[i]
+		q.send(work{run: &x})
+	}
+	for i := range fx.Forwards {
+		x := fx.Forwards[i]
+		q.send(work{forward: &x})
+	}
+	for i := range fx.Handovers {
+		x := fx.Handovers[i]
+		q.send(work{handover: &x})
+	}
+}
+
+func (q *queries) send(w work) {
+	if !q.dispatch(w) {
+		q.unsent = append(q.unsent, w.unsent())
 	}
 }
 
@@ -146,16 +188,15 @@
 }
 
 func (q *queries) publish() {
-	q.counted.Store(&engineStatus{Counters: q.engine.Counters(), InProgress: q.engine.InProgress(), Draining: q.engine.Draining()})
-}
-
-// awaitIdle blocks until a draining engine has no query in progress.
-func (q *queries) awaitIdle() {
-	for {
-		s := q.counted.Load()
-		if s.Draining && s.InProgress == 0 {
-			return
-		}
-		time.Sleep(idlePoll)
+	q.counted.Store(&engineStatus{
+		Counters:   q.engine.Counters(),
+		InProgress: q.engine.InProgress(),
+		Draining:   q.engine.Draining(),
+		Tickets:    q.engine.Tickets().Len(),
+		HandedOver: q.engine.HandedOver(),
+	})
+	select {
+	case q.changed <- struct{}{}:
+	default:
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,8 @@
 	Log      Log
 	Trace    Trace
 	Mesh     Mesh
+	Once     Once
+	Stop     Stop
 }
 
 // Mesh names the PEM files of mutual TLS between hosts; all are empty on loopback.
@@ -81,7 +83,7 @@
 	File     string
 }
 
-const knownSections = "host, listen, platform, limits, policy, log, trace, mesh"
+const knownSections = "host, listen, platform, limits, policy, log, trace, mesh, once, stop"
 
 // Default returns the settings of an empty file; name and addresses are missing.
 func Default() *Settings {
@@ -111,6 +113,8 @@
 		"log":      s.readLog,
 		"trace":    s.readTrace,
 		"mesh":     s.readMesh,
+		"once":     s.readOnce,
+		"stop":     s.readStop,
 	}
 	for _, section := range f.Sections {
 		read, ok := readers[section.Name]
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -31,6 +31,7 @@
 	ColdBudget int
 	Cold       bool
 	Leaving    bool
+	Runs       RunFaults
 }
 
 // Target is one stand-in target.
@@ -44,6 +45,7 @@
 	running     int
 	served      uint64
 	cancels     map[targetapi.AttemptRef]chan struct{}
+	ledger      *Ledger
 
 	server *httpd.Server
 }
@@ -56,6 +58,7 @@
 		rng:         rand.New(rand.NewPCG(seed, hash(name))),
 		incarnation: 1,
 		cancels:     map[targetapi.AttemptRef]chan struct{}{},
+		ledger:      NewLedger(),
 	}
 	s, err := httpd.Start(address, httpd.Limits{BodyBytes: maxBody}, t.routes)
 	if err != nil {
@@ -76,6 +79,7 @@
 func (t *Target) routes(h *server.Hertz) {
 	h.POST(targetapi.PathSearch, t.search)
 	h.POST(targetapi.PathCancel, t.cancel)
+	h.POST(targetapi.PathRun, t.run)
 	h.GET(targetapi.PathHealth, t.health)
 }
 
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -35,6 +35,7 @@
 	Nodes    []*node.Node
 
 	options Options
+	peers   *localPeers
 	hosts   []release.Host
 	number  uint64
 }
@@ -44,7 +45,7 @@
 	if options.Tracer == nil {
 		options.Tracer = trace.Off()
 	}
-	t := &Testbed{Layout: layout, Targets: map[string]*standin.Target{}, options: options}
+	t := &Testbed{Layout: layout, Targets: map[string]*standin.Target{}, options: options, peers: newLocalPeers()}
 	if err := t.start(); err != nil {
 		t.Stop()
 		return nil, fmt.Errorf("start testbed: %w", err)
@@ -158,11 +159,12 @@
 	s.Platform.Address = t.Platform.Address()
 	s.Platform.Poll = time.Second
 	s.Policy.Seed = int(t.Layout.Seed) + i
+	s.Stop.BalancerLag = 0
 	if t.options.Adjust != nil {
 		t.options.Adjust(i, s)
 	}
 	log := t.options.Log.With().Str("host", s.Host.Name).Str("availability_zone", s.Host.Zone).Logger()
-	return node.Start(s, node.Options{Log: log, Tracer: t.options.Tracer})
+	return node.Start(s, node.Options{Log: log, Tracer: t.options.Tracer, Peers: t.peers.join(s.Host.Name)})
 }
 
 const (
--- /dev/null
+++ b/internal/wire/once.go
@@ -0,0 +1,142 @@
+package wire
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/once"
+	"pollentack.example/pollentack/internal/core/result"
+)
+
+// EncodeOnceCall returns the payload that forwards a request.
+func EncodeOnceCall(r *engine.OnceRequest) ([]byte, error) {
+	return marshal(&OnceCall{
+		Ticket:      fromTicket(r.Ticket),
+		KeyHash:     r.KeyHash[:],
+		Service:     r.Service,
+		Body:        r.Body,
+		Timeout:     int64(r.Timeout),
+		TraceParent: r.TraceParent,
+	})
+}
+
+// DecodeOnceCall returns the request that a peer forwards.
+func DecodeOnceCall(payload []byte) (*engine.OnceRequest, error) {
+	m := &OnceCall{}
+	if err := unmarshal(payload, m); err != nil {
+		return nil, err
+	}
+	ticket, err := toTicket(m.GetTicket())
+	if err != nil {
+		return nil, err
+	}
+	r := &engine.OnceRequest{
+		Service:     m.GetService(),
+		Body:        m.GetBody(),
+		Ticket:      ticket,
+		Timeout:     max(0, time.Duration(m.GetTimeout())),
+		TraceParent: m.GetTraceParent(),
+		Forwarded:   true,
+	}
+	if copy(r.KeyHash[:], m.GetKeyHash()) != len(r.KeyHash) {
+		return nil, fmt.Errorf("key hash has %d bytes", len(m.GetKeyHash()))
+	}
+	return r, nil
+}
+
+// EncodeOnceReply returns the response to a forwarded request or a handover.
+func EncodeOnceReply(a *engine.OnceAnswer) ([]byte, error) {
+	return marshal(&OnceReply{Code: int32(a.Code), Detail: a.Detail, Target: a.Target, Output: a.Output, NotHeld: a.NotHeld})
+}
+
+// DecodeOnceReply returns a peer's response.
+func DecodeOnceReply(payload []byte) (*engine.OnceAnswer, error) {
+	m := &OnceReply{}
+	if err := unmarshal(payload, m); err != nil {
+		return nil, err
+	}
+	code := result.Code(m.GetCode())
+	if code.Info().Name == "" {
+		return nil, fmt.Errorf("result code %d does not exist", code)
+	}
+	return &engine.OnceAnswer{Code: code, Detail: m.GetDetail(), Target: m.GetTarget(), Output: m.GetOutput(), NotHeld: m.GetNotHeld()}, nil
+}
+
+// EncodeChunk returns the payload of a handover.
+func EncodeChunk(c *once.Chunk) ([]byte, error) {
+	m := &HandoverChunk{Home: c.Home, Sender: c.Sender, Number: c.Number}
+	for i := range c.Records {
+		rec := &c.Records[i]
+		o := &rec.Outcome
+		m.Records = append(m.Records, &OnceRecord{
+			Ticket:    fromTicket(&rec.Ticket),
+			Service:   rec.Service,
+			Caller:    rec.Caller,
+			Remaining: int64(rec.Remaining),
+			Used:      rec.Used,
+			Body:      rec.Body[:],
+			Outcome:   &OnceReply{Code: int32(o.Code), Detail: o.Detail, Target: o.Target, Output: o.Output},
+		})
+	}
+	return marshal(m)
+}
+
+// DecodeChunk returns the chunk that a peer hands over.
+func DecodeChunk(payload []byte) (*once.Chunk, error) {
+	m := &HandoverChunk{}
+	if err := unmarshal(payload, m); err != nil {
+		return nil, err
+	}
+	c := &once.Chunk{Home: m.GetHome(), Sender: m.GetSender(), Number: m.GetNumber()}
+	for _, r := range m.GetRecords() {
+		ticket, err := toTicket(r.GetTicket())
+		if err != nil {
+			return nil, err
+		}
+		o := r.GetOutcome()
+		rec := once.Record{
+			Ticket:    *ticket,
+			Service:   r.GetService(),
+			Caller:    r.GetCaller(),
+			Remaining: max(0, time.Duration(r.GetRemaining())),
+			Used:      r.GetUsed(),
+			Outcome:   once.Outcome{Code: result.Code(o.GetCode()), Detail: o.GetDetail(), Target: o.GetTarget(), Output: o.GetOutput()},
+		}
+		copy(rec.Body[:], r.GetBody())
+		c.Records = append(c.Records, rec)
+	}
+	return c, nil
+}
+
+func fromTicket(t *once.Ticket) *Ticket {
+	return &Ticket{Home: t.Home, Incarnation: t.Incarnation, Serial: t.Serial, Expiry: int64(t.Expiry), Mac: t.MAC[:]}
+}
+
+func toTicket(m *Ticket) (*once.Ticket, error) {
+	t := &once.Ticket{
+		Ref:    once.Ref{Home: m.GetHome(), Incarnation: m.GetIncarnation(), Serial: m.GetSerial()},
+		Expiry: time.Duration(m.GetExpiry()),
+	}
+	if copy(t.MAC[:], m.GetMac()) != len(t.MAC) {
+		return nil, fmt.Errorf("ticket code has %d bytes", len(m.GetMac()))
+	}
+	return t, nil
+}
+
+func marshal(m proto.Message) ([]byte, error) {
+	payload, err := proto.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", m.ProtoReflect().Descriptor().Name(), err)
+	}
+	return payload, nil
+}
+
+func unmarshal(payload []byte, m proto.Message) error {
+	if err := proto.Unmarshal(payload, m); err != nil {
+		return fmt.Errorf("decode %s: %w", m.ProtoReflect().Descriptor().Name(), err)
+	}
+	return nil
+}
