--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -21,9 +21,10 @@
 
 // Server is one listener.
 type Server struct {
-	address string
-	hertz   *server.Hertz
-	group   *duty.Group
+	address  string
+	listener *listener
+	hertz    *server.Hertz
+	group    *duty.Group
 }
 
 const (
@@ -35,10 +36,11 @@
 // Start listens on address and serves the routes that route adds.
 func Start(address string, limits Limits, route func(*server.Hertz)) (*Server, error) {
 	hlog.SetLevel(hlog.LevelFatal)
-	listener, err := net.Listen("tcp", address)
+	socket, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	listener := newListener(socket)
 	h := server.New(
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
@@ -53,7 +55,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("serve %s: %w", address, err)
 	}
-	s := &Server{address: listener.Addr().String(), hertz: h, group: group}
+	s := &Server{address: listener.Addr().String(), listener: listener, hertz: h, group: group}
 	err = group.Start(duty.Duty{
 		Name: "http " + s.address,
 		Run:  func() { _ = h.Run() },
@@ -74,5 +76,6 @@
 func (s *Server) shutdown() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	s.listener.endIdle()
 	_ = s.hertz.Shutdown(ctx)
 }
