--- a/internal/testbed/once_test.go
+++ b/internal/testbed/once_test.go
@@ -8,6 +8,7 @@
 	"pollentack.example/pollentack/internal/core/result"
 	"pollentack.example/pollentack/internal/edge/callerclient"
 	"pollentack.example/pollentack/internal/edge/front"
+	"pollentack.example/pollentack/internal/settings"
 	"pollentack.example/pollentack/internal/standin"
 )
 
@@ -27,7 +28,7 @@
 			Policy:    release.Policy{Deadline: 2 * time.Second, MinCoverage: 1},
 			Behaviour: standin.Behaviour{Latency: time.Millisecond, Slots: 4, ColdBudget: 1},
 		}},
-	}, Options{})
+	}, Options{Adjust: func(_ int, s *settings.Settings) { s.Platform.Poll = 100 * time.Millisecond }})
 	if err != nil {
 		t.Fatal(err)
 	}
