--- a/internal/core/engine/oncerun.go
+++ b/internal/core/engine/oncerun.go
@@ -134,6 +134,9 @@
 		Cold:        r.Cold,
 		Leaving:     r.Leaving,
 		Elapsed:     r.Elapsed,
+
+		ClaimedIncarnation: r.ClaimedIncarnation,
+		Disconnected:       r.Disconnected,
 	})
 	name := e.targets.Entry(r.Target).Spec.Name
 	switch {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,8 @@
 	Log      Log
 	Trace    Trace
 	Mesh     Mesh
+	Once     Once
+	Stop     Stop
 }
 
 // Mesh names the PEM files of mutual TLS between hosts; all are empty on loopback.
@@ -116,6 +118,8 @@
 		{"log", s.readLog},
 		{"trace", s.readTrace},
 		{"mesh", s.readMesh},
+		{"once", s.readOnce},
+		{"stop", s.readStop},
 	}
 	for _, reader := range readers {
 		section := f.Section(reader.name)
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -33,6 +33,7 @@
 	Leaving    bool
 	Warming    Warming
 	Faults     Faults
+	Runs       RunFaults
 }
 
 // Target is one stand-in target.
@@ -48,6 +49,7 @@
 	cold        coldCounts
 	lastBegan   time.Time
 	cancels     map[targetapi.AttemptRef]chan struct{}
+	ledger      *Ledger
 
 	listener *restartListener
 	server   *httpd.Server
@@ -61,6 +63,7 @@
 		rng:         rand.New(rand.NewPCG(seed, hash(name))),
 		incarnation: 1,
 		cancels:     map[targetapi.AttemptRef]chan struct{}{},
+		ledger:      NewLedger(),
 	}
 	listener, err := listenRestartable(address)
 	if err != nil {
@@ -86,6 +89,7 @@
 func (t *Target) routes(h *server.Hertz) {
 	h.POST(targetapi.PathSearch, t.search)
 	h.POST(targetapi.PathCancel, t.cancel)
+	h.POST(targetapi.PathRun, t.run)
 	h.GET(targetapi.PathHealth, t.health)
 }
 
@@ -101,7 +105,7 @@
 		c.JSON(http.StatusBadRequest, targetapi.SearchReply{Status: targetapi.StatusBadRequest})
 		return
 	}
-	if expired(&req) {
+	if expired(req.NotAfterMicros) {
 		c.JSON(http.StatusServiceUnavailable, t.reply(targetapi.StatusCold, &req))
 		return
 	}
