--- a/internal/core/membership/event.go
+++ b/internal/core/membership/event.go
@@ -35,7 +35,9 @@
 	Note uint64
 	// Hash covers all facts and convictions of the sender.
 	Hash uint64
-	// UpTo is the position in the sender's log up to which this heartbeat tells.
+	// From and UpTo are the positions in the sender's log between which this heartbeat
+	// tells; whoever has merged up to From has then merged up to UpTo.
+	From uint64
 	UpTo uint64
 	// Merged is the position in the receiver's log that the sender has merged.
 	Merged      uint64
@@ -43,6 +45,8 @@
 	Convictions []engine.Conviction
 	// Leaving tells that the sender is shutting down.
 	Leaving bool
+	// Ask asks for an answer at once.
+	Ask bool
 }
 
 // Event is something that happened outside the core.
--- a/internal/edge/mesh/link.go
+++ b/internal/edge/mesh/link.go
@@ -100,7 +100,7 @@
 func (l *link) readBeats() {
 	defer l.close()
 	for {
-		if err := l.beats.SetReadDeadline(time.Now().Add(silenceLimit)); err != nil {
+		if err := l.beats.SetReadDeadline(time.Now().Add(l.mesh.silenceLimit(l.peer))); err != nil {
 			return
 		}
 		h := &wire.Heartbeat{}
@@ -112,6 +112,17 @@
 	}
 }
 
+// silenceLimit is how long a link may bring no heartbeat; they are rarer where no peer
+// keeps it standing.
+func (m *Mesh) silenceLimit(peer string) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.standing[peer] {
+		return silenceLimit
+	}
+	return demandSilenceLimit
+}
+
 // write sends a frame and counts its bytes.
 func (m *Mesh) write(w io.Writer, msg proto.Message, limit int) error {
 	n, err := wire.WriteFrame(w, msg, limit)
--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -33,8 +33,10 @@
 	workersPerLink = 3
 	// handshakeTimeout bounds the dial, TLS and both hellos.
 	handshakeTimeout = 2 * time.Second
-	// silenceLimit closes a link that brings no heartbeat.
+	// silenceLimit closes a standing link that brings no heartbeat.
 	silenceLimit = 3 * time.Second
+	// demandSilenceLimit is the same for a link made on demand.
+	demandSilenceLimit = 3 * membership.DemandInterval
 	// outboxCapacity is the number of heartbeats that wait for a slow link.
 	outboxCapacity = 8
 	// redialPause is the wait between attempts to reach a peer.
--- a/internal/wire/convert.go
+++ b/internal/wire/convert.go
@@ -24,9 +24,11 @@
 		Echo:      h.Echo,
 		Note:      h.Note,
 		FactsHash: h.Hash,
+		From:      h.From,
 		UpTo:      h.UpTo,
 		Merged:    h.Merged,
 		Leaving:   h.Leaving,
+		Ask:       h.Ask,
 	}
 	for _, f := range h.Facts {
 		m.Facts = append(m.Facts, &TargetFact{
@@ -50,9 +52,11 @@
 		Echo:     x.GetEcho(),
 		Note:     x.GetNote(),
 		Hash:     x.GetFactsHash(),
+		From:     x.GetFrom(),
 		UpTo:     x.GetUpTo(),
 		Merged:   x.GetMerged(),
 		Leaving:  x.GetLeaving(),
+		Ask:      x.GetAsk(),
 	}
 	for _, f := range x.GetFacts() {
 		h.Facts = append(h.Facts, engine.TargetFact{
