--- a/internal/core/membership/topology.go
+++ b/internal/core/membership/topology.go
@@ -72,7 +72,7 @@
 // next above and below in rank, wrapping round, so that no cycle has to be sorted.
 func addNeighbours(names map[string]bool, hosts []release.Host, self, graph string, cycles int) {
 	for cycle := range cycles {
-		salt := graph + " " + strconv.Itoa(cycle) + " "
+		salt := xxhash.Sum64String(graph + " " + strconv.Itoa(cycle))
 		own := ranked{rank: rankOf(salt, self), name: self}
 		above, below := own, own
 		least, greatest := own, own
@@ -102,4 +102,10 @@
 	}
 }
 
-func rankOf(salt, name string) uint64 { return xxhash.Sum64String(salt + name) }
+// rankOf mixes a name's hash with the salt of a cycle, by the finalizer of splitmix64.
+func rankOf(salt uint64, name string) uint64 {
+	x := xxhash.Sum64String(name) ^ salt
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
