Join hosts: notes, facts and contact over the mesh

A host whose platform is cut kept its old state, and one that started then had none. The membership duty now keeps the links, tells peers what they lack and fetches notes from whoever has a higher one: the notes that follow where the peer still keeps them, else the fold in parts that each fit the parser's bound. Isolation fails the balancer's check. The testbed can cut pairs of hosts and one host's platform.

A state's fold by the note's own bound of a megabyte was ruled out: at 22,000 targets it is larger.

--- a/internal/core/control/control.go
+++ b/internal/core/control/control.go
@@ -48,6 +48,7 @@
 	state    *release.State
 	pending  map[uint64]*release.Note
 	rejected []Rejection
+	recent   []*release.Note
 }
 
 // New returns a Control with nothing in force.
@@ -123,6 +124,7 @@
 		return false
 	}
 	c.state = next
+	c.remember(n)
 	fx.InForce = next
 	return true
 }
--- a/internal/core/engine/effect.go
+++ b/internal/core/engine/effect.go
@@ -49,6 +49,9 @@
 	// Facts and Convictions are new first-hand knowledge for the peers.
 	Facts       []TargetFact
 	Convictions []Conviction
+	// WordWanted is the instant of a late wake, after which a word from the platform or
+	// a peer is wanted; 0 for none.
+	WordWanted time.Duration
 	OnceEffects
 }
 
@@ -64,5 +67,6 @@
 	fx.Answers = fx.Answers[:0]
 	fx.Facts = fx.Facts[:0]
 	fx.Convictions = fx.Convictions[:0]
+	fx.WordWanted = 0
 	fx.resetOnce()
 }
--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -30,6 +30,8 @@
 	MaxQueries int
 	// Hedge sends a second attempt to another replica when the first is late.
 	Hedge bool
+	// MaxGap is the time between steps above which the host woke late; 0 does not look.
+	MaxGap time.Duration
 	// Once bounds the requests that run at most once.
 	Once once.Config
 }
@@ -43,6 +45,7 @@
 	Retries        uint64 `json:"retries"`
 	LateReplies    uint64 `json:"late_replies"`
 	WrongSnapshots uint64 `json:"wrong_snapshots"`
+	LateWakes      uint64 `json:"late_wakes"`
 }
 
 // Engine is the data plane's core.
@@ -61,6 +64,7 @@
 	isolated bool
 	counters Counters
 	once     onceState
+	pause    pause
 }
 
 // plan is a snapshot's replicas by target ID.
@@ -84,6 +88,9 @@
 // Step handles one event.
 func (e *Engine) Step(now clock.Instant, ev Event, fx *Effects) {
 	e.Advance(now, fx)
+	if e.hold(now, ev, fx) {
+		return
+	}
 	switch ev := ev.(type) {
 	case *Submit:
 		e.submit(now, ev.Request, fx)
@@ -100,7 +107,9 @@
 	case *PeerFacts:
 		e.peerFacts(ev)
 	case *Isolation:
-		e.isolated = ev.Isolated
+		e.isolation(now, ev, fx)
+	case *Word:
+		e.word(now, ev, fx)
 	default:
 		e.stepOnce(now, ev, fx)
 	}
@@ -109,6 +118,8 @@
 
 // Advance ends what is due at now.
 func (e *Engine) Advance(now clock.Instant, fx *Effects) {
+	e.noticeGap(now, fx)
+	e.expireHeld(now, fx)
 	for {
 		t, ok := e.timers.popDue(now.Mono)
 		if !ok {
@@ -132,10 +143,16 @@
 }
 
 // NextWake returns when Advance must next be called, and false for never.
-func (e *Engine) NextWake() (time.Duration, bool) { return e.timers.next() }
+func (e *Engine) NextWake() (time.Duration, bool) {
+	due, ok := e.timers.next()
+	if wake, looks := e.pauseWake(); looks && (!ok || wake < due) {
+		return wake, true
+	}
+	return due, ok
+}
 
 // InProgress returns the number of requests in progress.
-func (e *Engine) InProgress() int { return len(e.queries) + e.once.inProgress() }
+func (e *Engine) InProgress() int { return len(e.queries) + len(e.pause.held) + e.once.inProgress() }
 
 // Draining reports whether the engine refuses new work for a graceful shutdown.
 func (e *Engine) Draining() bool { return e.draining }
--- a/internal/core/membership/event.go
+++ b/internal/core/membership/event.go
@@ -86,8 +86,12 @@
 // WordWanted asks for a word from the platform or a peer that is not older than Since.
 type WordWanted struct{ Since time.Duration }
 
-// FetchEnded tells that a fetch of notes from a peer is over.
-type FetchEnded struct{ Peer string }
+// FetchEnded tells that a fetch of notes from a peer is over. Number is the highest
+// that it brought, 0 for none.
+type FetchEnded struct {
+	Peer   string
+	Number uint64
+}
 
 // Drain tells that this host is shutting down.
 type Drain struct{}
--- a/internal/core/membership/fetch.go
+++ b/internal/core/membership/fetch.go
@@ -9,7 +9,7 @@
 const (
 	// fetchLimit is the time after which a fetch counts as failed.
 	fetchLimit = 2 * time.Second
-	// fetchPause is the wait after a fetch that brought nothing.
+	// fetchPause is the wait after a fetch, in which what it brought comes into force.
 	fetchPause = 100 * time.Millisecond
 )
 
@@ -23,14 +23,14 @@
 	next   time.Duration
 }
 
-func (f *fetches) ended(now time.Duration, peer string, note uint64) {
-	if f.from != peer {
+func (f *fetches) ended(now time.Duration, ev *FetchEnded) {
+	if f.from != ev.Peer {
 		return
 	}
 	f.from, f.failed = "", ""
-	if note <= f.after {
-		f.failed = peer
-		f.next = now + fetchPause
+	f.next = now + fetchPause
+	if ev.Number <= f.after {
+		f.failed = ev.Peer
 	}
 }
 
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -101,7 +101,7 @@
 	case *WordWanted:
 		m.wordWanted(ev)
 	case *FetchEnded:
-		m.fetch.ended(now.Mono, ev.Peer, m.Note())
+		m.fetch.ended(now.Mono, ev)
 	case *Drain:
 		m.draining = true
 		m.promptAll()
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -110,11 +110,13 @@
 		b.step(name, &PlatformWord{Began: b.now.Mono})
 	}
 	if f := fx.Fetch; f != nil {
+		ended := &FetchEnded{Peer: f.Peer}
 		if state := b.notes[f.Peer]; !b.cut[[2]string{name, f.Peer}] && state.Number > f.After {
 			b.notes[name] = state
 			b.step(name, &InForce{State: state})
+			ended.Number = state.Number
 		}
-		b.step(name, &FetchEnded{Peer: f.Peer})
+		b.step(name, ended)
 	}
 }
 
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -56,6 +56,8 @@
 	tracer  *trace.Tracer
 	next    atomic.Uint64
 	refused atomic.Bool
+	// isolated fails the balancer's check for as long as it is set.
+	isolated atomic.Bool
 
 	mu      sync.Mutex
 	waiting map[uint64]chan engine.Answer
@@ -80,6 +82,9 @@
 // FailHealth makes the balancer's check fail from now on.
 func (f *Front) FailHealth() { f.refused.Store(true) }
 
+// SetIsolated makes the balancer's check fail while the host is isolated.
+func (f *Front) SetIsolated(isolated bool) { f.isolated.Store(isolated) }
+
 // Stop stops listening once the requests in progress have been answered.
 func (f *Front) Stop() { f.server.Close() }
 
@@ -104,6 +109,10 @@
 		c.String(http.StatusServiceUnavailable, "leaving\n")
 		return
 	}
+	if f.isolated.Load() {
+		c.String(http.StatusServiceUnavailable, "isolated\n")
+		return
+	}
 	c.String(http.StatusOK, "ok\n")
 }
 
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -24,7 +24,9 @@
 	core    *control.Control
 	inbox   *ring.Ring[control.Event]
 	queries func(engine.Event) bool
-	status  atomic.Pointer[controlStatus]
+	// peers takes what peers may fetch whenever it changes.
+	peers  func(*control.Shared)
+	status atomic.Pointer[controlStatus]
 }
 
 type controlStatus struct {
@@ -39,6 +41,7 @@
 		core:    control.New(),
 		inbox:   ring.New[control.Event]("control", controlCapacity),
 		queries: queries,
+		peers:   func(*control.Shared) {},
 	}
 	c.status.Store(&controlStatus{})
 	return c
@@ -68,6 +71,7 @@
 func (c *controller) carryOut(fx *control.Effects) {
 	if fx.InForce != nil {
 		c.queries(&engine.Release{State: fx.InForce})
+		c.peers(c.core.Shared())
 		c.log.Info().Str("event", "note_in_force").Uint64("note", fx.InForce.Number).Send()
 	}
 	for _, r := range fx.Rejected {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,10 +12,12 @@
 
 	"pollentack.example/pollentack/internal/core/control"
 	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/membership"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/admin"
 	"pollentack.example/pollentack/internal/edge/front"
 	"pollentack.example/pollentack/internal/edge/httpd"
+	"pollentack.example/pollentack/internal/edge/mesh"
 	"pollentack.example/pollentack/internal/edge/platform"
 	"pollentack.example/pollentack/internal/edge/targetclient"
 	"pollentack.example/pollentack/internal/edge/trace"
@@ -32,6 +34,7 @@
 // Node is one running host.
 type Node struct {
 	settings *settings.Settings
+	options  Options
 	log      zerolog.Logger
 	tracer   *trace.Tracer
 	clock    wallclock.Clock
@@ -41,6 +44,7 @@
 	dispatch *dispatch
 	control  *controller
 	reader   *platform.Reader
+	members  *members
 	front    *front.Front
 	admin    *admin.Admin
 
@@ -52,12 +56,14 @@
 type Options struct {
 	Log    zerolog.Logger
 	Tracer *trace.Tracer
+	// MeshDial replaces the dial of peers where it is set.
+	MeshDial mesh.DialFunc
 }
 
 // Start runs a host until Stop. Listeners open last, so that no request meets a host
 // whose duties do not run yet.
 func Start(s *settings.Settings, o Options) (*Node, error) {
-	n := &Node{settings: s, log: o.Log, tracer: o.Tracer, clock: wallclock.New(), failed: make(chan error, maxDuties)}
+	n := &Node{settings: s, options: o, log: o.Log, tracer: o.Tracer, clock: wallclock.New(), failed: make(chan error, maxDuties)}
 	if err := n.start(); err != nil {
 		n.Stop()
 		return nil, fmt.Errorf("start host %q: %w", s.Host.Name, err)
@@ -71,15 +77,28 @@
 	if n.duties, err = duty.NewGroup(maxDuties, n.dutyFailed); err != nil {
 		return err
 	}
+	if n.members, err = newMembers(n.settings, &n.options, n.clock); err != nil {
+		return err
+	}
 	if err = n.startQueries(); err != nil {
 		return err
 	}
 	if err = n.startControl(); err != nil {
 		return err
 	}
+	if err = n.startMembers(); err != nil {
+		return err
+	}
 	return n.listen()
 }
 
+// startMembers starts the duty that the queries and the control duty hear from.
+func (n *Node) startMembers() error {
+	n.members.queries = n.queries.put
+	n.members.control = n.control.put
+	return n.duties.Start(n.members.duty())
+}
+
 func (n *Node) startQueries() error {
 	client, err := targetclient.New(n.settings.Host.Name, n.clock, n.tracer)
 	if err != nil {
@@ -89,6 +108,7 @@
 	if n.dispatch, err = newDispatch(n.settings.Limits.Connections, client, n.queries.put); err != nil {
 		return err
 	}
+	n.queries.tell = n.members.tell
 	n.queries.dispatch = n.dispatch.put
 	if err = n.duties.Start(n.dispatch.duty()); err != nil {
 		return err
@@ -98,6 +118,7 @@
 
 func (n *Node) startControl() error {
 	n.control = newController(n.clock, n.log, func(ev engine.Event) bool { return n.queries.put(ev) })
+	n.control.peers = n.members.inForce
 	if err := n.duties.Start(n.control.duty()); err != nil {
 		return err
 	}
@@ -118,6 +139,7 @@
 		return err
 	}
 	n.queries.setDeliver(n.front.Deliver)
+	n.members.setIsolated(n.front.SetIsolated)
 	n.admin, err = admin.Start(n.settings.Listen.Admin, httpd.Limits{BodyBytes: adminBodyBytes}, func() any { return n.Status() })
 	return err
 }
@@ -143,6 +165,7 @@
 func (n *Node) stop() {
 	if n.front != nil {
 		n.front.FailHealth()
+		n.members.put(&membership.Drain{})
 		n.queries.put(&engine.Drain{})
 		n.queries.awaitIdle()
 		n.front.Stop()
@@ -153,5 +176,8 @@
 	if n.duties != nil {
 		n.duties.Stop()
 	}
+	if n.members != nil {
+		n.members.close()
+	}
 	n.log.Info().Str("event", "host_stopped").Send()
 }
--- a/internal/node/queries.go
+++ b/internal/node/queries.go
@@ -16,6 +16,8 @@
 	stepBatch = 256
 	// controlReserve is the room for events that are neither queries nor replies.
 	controlReserve = 1024
+	// maxStepGap is the time between steps above which the host woke late.
+	maxStepGap = 500 * time.Millisecond
 	// idlePoll is the wait between looks at a draining host.
 	idlePoll = 10 * time.Millisecond
 )
@@ -36,6 +38,9 @@
 	dispatch func(work) bool
 	deliver  atomic.Pointer[func(*engine.Answer)]
 
+	// tell takes effects that concern the peers.
+	tell func(*engine.Effects)
+
 	// unsent are replies for sends that the dispatch ring refused.
 	unsent  []*engine.Reply
 	counted atomic.Pointer[engineStatus]
@@ -60,8 +65,10 @@
 			Seed:       uint64(s.Policy.Seed),
 			MaxQueries: s.Limits.Queries,
 			Hedge:      s.Policy.Hedge,
+			MaxGap:     maxStepGap,
 		}),
 	}
+	q.tell = func(*engine.Effects) {}
 	q.setDeliver(func(*engine.Answer) {})
 	q.counted.Store(&engineStatus{})
 	return q
@@ -111,6 +118,7 @@
 func (q *queries) carryOut(fx *engine.Effects) {
 	deliver := *q.deliver.Load()
 	for {
+		q.tell(fx)
 		for i := range fx.Answers {
 			deliver(&fx.Answers[i])
 		}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -3,26 +3,32 @@
 import (
 	"pollentack.example/pollentack/internal/core/control"
 	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/membership"
+	"pollentack.example/pollentack/internal/edge/mesh"
 	"pollentack.example/pollentack/internal/ring"
 )
 
 // Status is what a host says of itself to operators.
 type Status struct {
-	Host          string              `json:"host"`
-	Zone          string              `json:"availability_zone"`
-	Note          uint64              `json:"note"`
-	Rejected      []control.Rejection `json:"rejected,omitempty"`
-	InProgress    int                 `json:"in_progress"`
-	Draining      bool                `json:"draining"`
-	Counters      engine.Counters     `json:"counters"`
-	Rings         []ring.Stats        `json:"rings"`
-	PlatformCalls uint64              `json:"platform_calls"`
+	Host          string                  `json:"host"`
+	Zone          string                  `json:"availability_zone"`
+	Note          uint64                  `json:"note"`
+	Rejected      []control.Rejection     `json:"rejected,omitempty"`
+	InProgress    int                     `json:"in_progress"`
+	Draining      bool                    `json:"draining"`
+	Counters      engine.Counters         `json:"counters"`
+	Rings         []ring.Stats            `json:"rings"`
+	Isolated      bool                    `json:"isolated"`
+	Peers         []membership.PeerStatus `json:"peers,omitempty"`
+	Mesh          *mesh.Stats             `json:"mesh,omitempty"`
+	PlatformCalls uint64                  `json:"platform_calls"`
 }
 
 // Status returns the host's status at this moment.
 func (n *Node) Status() Status {
 	q := n.queries.counted.Load()
 	c := n.control.status.Load()
+	members := n.members.status.Load()
 	return Status{
 		Host:          n.settings.Host.Name,
 		Zone:          n.settings.Host.Zone,
@@ -31,7 +37,10 @@
 		InProgress:    q.InProgress,
 		Draining:      q.Draining,
 		Counters:      q.Counters,
-		Rings:         []ring.Stats{n.queries.inbox.Stats(), n.dispatch.inbox.Stats(), n.control.inbox.Stats()},
+		Rings:         []ring.Stats{n.queries.inbox.Stats(), n.dispatch.inbox.Stats(), n.control.inbox.Stats(), n.members.inbox.Stats()},
+		Isolated:      members.Isolated,
+		Peers:         members.Peers,
+		Mesh:          n.members.meshStats(),
 		PlatformCalls: n.reader.Calls(),
 	}
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -29,6 +29,7 @@
 	hosts    []platformapi.HostEntry
 	server   *httpd.Server
 	stopping chan struct{}
+	stopOnce sync.Once
 }
 
 // StartPlatform listens on address, where port 0 takes a free one.
@@ -45,9 +46,12 @@
 // Address returns where the platform listens.
 func (p *Platform) Address() string { return p.server.Address() }
 
+// EndWatches answers all waiting watches; later ones do not wait.
+func (p *Platform) EndWatches() { p.stopOnce.Do(func() { close(p.stopping) }) }
+
 // Stop ends the platform; waiting watches are answered first.
 func (p *Platform) Stop() {
-	close(p.stopping)
+	p.EndWatches()
 	p.server.Close()
 }
 
--- /dev/null
+++ b/internal/testbed/mesh_test.go
@@ -0,0 +1,110 @@
+package testbed
+
+import (
+	"testing"
+
+	"pollentack.example/pollentack/internal/core/release"
+)
+
+func nineHosts(t *testing.T) *Testbed {
+	t.Helper()
+	bed, err := Start(Layout{Seed: 1, Zones: ThreeZones(), Hosts: 9}, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(bed.Stop)
+	err = Await("a full mesh", func() bool {
+		for _, n := range bed.Nodes {
+			if len(n.Status().Peers) != 8 {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bed
+}
+
+func zoneOut(bed *Testbed, out bool) release.Item {
+	zone := bed.Layout.Zones[0]
+	zone.Out = out
+	return release.Item{Op: release.Change, Zone: &zone}
+}
+
+// TestNoteReachesHostsCutFromThePlatform checks that a note comes into force on all nine
+// hosts though eight of them cannot reach the platform.
+func TestNoteReachesHostsCutFromThePlatform(t *testing.T) {
+	bed := nineHosts(t)
+	for i := 1; i < 9; i++ {
+		bed.CutPlatform(i, true)
+	}
+	for _, out := range []bool{true, false, true} {
+		if err := bed.AwaitNote(bed.Change(zoneOut(bed, out))); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestPartitionHeals checks that two halves, of which one has no platform, agree again
+// after the cut, and that neither calls itself isolated.
+func TestPartitionHeals(t *testing.T) {
+	bed := nineHosts(t)
+	bed.Partition(4, true)
+	for i := range 4 {
+		bed.CutPlatform(i, true)
+	}
+	number := bed.Change(zoneOut(bed, true))
+	err := Await("the note on the connected half", func() bool { return bed.Nodes[8].Status().Note == number })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 4 {
+		if got := bed.Nodes[i].Status().Note; got >= number {
+			t.Errorf("host %d has note %d through the cut", i, got)
+		}
+	}
+	bed.Partition(4, false)
+	if err := bed.AwaitNote(number); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestStartWithoutThePlatform checks that a host that starts while the platform is down
+// takes the state in force from its peers.
+func TestStartWithoutThePlatform(t *testing.T) {
+	bed := nineHosts(t)
+	number := bed.Change(zoneOut(bed, true))
+	if err := bed.AwaitNote(number); err != nil {
+		t.Fatal(err)
+	}
+	bed.Nodes[8].Stop()
+	bed.CutPlatform(8, true)
+	n, err := bed.StartNode(8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bed.Nodes[8] = n
+	if err := bed.AwaitNote(number); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestIsolatedHostFailsItsCheck checks that a host with neither platform nor peer calls
+// itself isolated, and no longer once it reaches a peer.
+func TestIsolatedHostFailsItsCheck(t *testing.T) {
+	bed := nineHosts(t)
+	bed.CutPlatform(4, true)
+	bed.CutHost(4, true)
+	isolated := func(want bool) func() bool {
+		return func() bool { return bed.Nodes[4].Status().Isolated == want }
+	}
+	if err := Await("isolation", isolated(true)); err != nil {
+		t.Fatal(err)
+	}
+	bed.CutHost(4, false)
+	if err := Await("the end of isolation", isolated(false)); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -37,6 +37,9 @@
 	options Options
 	hosts   []release.Host
 	number  uint64
+	network *network
+	// entrances are the platform's addresses, one for each host.
+	entrances []*standin.Entrance
 }
 
 // Start runs the layout and waits until the first note is in force on every host.
@@ -44,7 +47,7 @@
 	if options.Tracer == nil {
 		options.Tracer = trace.Off()
 	}
-	t := &Testbed{Layout: layout, Targets: map[string]*standin.Target{}, options: options}
+	t := &Testbed{Layout: layout, Targets: map[string]*standin.Target{}, options: options, network: newNetwork()}
 	if err := t.start(); err != nil {
 		t.Stop()
 		return nil, fmt.Errorf("start testbed: %w", err)
@@ -101,6 +104,12 @@
 		if err != nil {
 			return err
 		}
+		entrance, err := t.Platform.StartEntrance(loopback)
+		if err != nil {
+			return err
+		}
+		t.entrances = append(t.entrances, entrance)
+		t.network.names[address] = i
 		zone := t.Layout.Zones[i%len(t.Layout.Zones)]
 		t.hosts = append(t.hosts, release.Host{Name: fmt.Sprintf("host-%d", i+1), Zone: zone.Name, Mesh: address})
 	}
@@ -155,14 +164,17 @@
 	s.Listen.Front = loopback
 	s.Listen.Admin = loopback
 	s.Listen.Mesh = t.hosts[i].Mesh
-	s.Platform.Address = t.Platform.Address()
+	for _, h := range t.hosts {
+		s.Mesh.Seeds = append(s.Mesh.Seeds, settings.Seed{Name: h.Name, Address: h.Mesh})
+	}
+	s.Platform.Address = t.entrances[i].Address()
 	s.Platform.Poll = time.Second
 	s.Policy.Seed = int(t.Layout.Seed) + i
 	if t.options.Adjust != nil {
 		t.options.Adjust(i, s)
 	}
 	log := t.options.Log.With().Str("host", s.Host.Name).Str("availability_zone", s.Host.Zone).Logger()
-	return node.Start(s, node.Options{Log: log, Tracer: t.options.Tracer})
+	return node.Start(s, node.Options{Log: log, Tracer: t.options.Tracer, MeshDial: t.network.dialer(i)})
 }
 
 const (
@@ -214,6 +226,10 @@
 		target.Stop()
 	}
 	if t.Platform != nil {
+		t.Platform.EndWatches()
+		for _, e := range t.entrances {
+			e.Stop()
+		}
 		t.Platform.Stop()
 	}
 }
