--- a/internal/edge/mesh/call.go
+++ b/internal/edge/mesh/call.go
@@ -48,7 +48,7 @@
 }
 
 func (m *Mesh) roundTrip(stream *yamux.Stream, req *wire.Request) ([]byte, error) {
-	err := m.write(stream, req, wire.MaxCallBytes)
+	err := write(stream, req, wire.MaxCallBytes)
 	if errors.Is(err, wire.ErrOversized) {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -119,14 +119,14 @@
 		resp.Payload = h(l.peer, req.GetPayload())
 		resp.Status = wire.Status_STATUS_OK
 	}
-	_ = l.mesh.write(stream, resp, wire.MaxCallBytes)
+	_ = write(stream, resp, wire.MaxCallBytes)
 }
 
 // refuseCall tells the caller that its request will not be read.
 func (l *link) refuseCall(stream *yamux.Stream) {
 	l.mesh.counters.callsRefused.Add(1)
 	if stream.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
-		_ = l.mesh.write(stream, &wire.Response{Status: wire.Status_STATUS_BUSY}, wire.MaxCallBytes)
+		_ = write(stream, &wire.Response{Status: wire.Status_STATUS_BUSY}, wire.MaxCallBytes)
 	}
 	_ = stream.Close()
 }
--- a/internal/edge/mesh/hello.go
+++ b/internal/edge/mesh/hello.go
@@ -66,8 +66,12 @@
 		return nil, err
 	}
 	conn, err := m.options.Dial(host.Mesh, handshakeTimeout)
-	if err != nil || config == nil {
-		return conn, err
+	if err != nil {
+		return nil, err
+	}
+	conn = m.counted(conn)
+	if config == nil {
+		return conn, nil
 	}
 	return m.handshake(tls.Client(conn, config))
 }
@@ -116,7 +120,7 @@
 	if err := stream.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return fmt.Errorf("set deadline: %w", err)
 	}
-	if err := m.write(stream, mine, wire.MaxHelloBytes); err != nil {
+	if err := write(stream, mine, wire.MaxHelloBytes); err != nil {
 		return err
 	}
 	if err := m.read(stream, theirs, wire.MaxHelloBytes); err != nil {
@@ -130,6 +134,7 @@
 
 // welcome is the accepting side of the hello.
 func (m *Mesh) welcome(conn net.Conn) (*link, error) {
+	conn = m.counted(conn)
 	if config := m.security.server(); config != nil {
 		var err error
 		if conn, err = m.handshake(tls.Server(conn, config)); err != nil {
@@ -170,11 +175,11 @@
 	if err != nil {
 		mine.Refusal = reasonOf(err)
 		// The peer waits for the reason; closing the session at once would lose it.
-		_ = m.write(stream, mine, wire.MaxHelloBytes)
+		_ = write(stream, mine, wire.MaxHelloBytes)
 		_, _ = io.ReadFull(stream, make([]byte, 1))
 		return nil, err
 	}
-	if err := m.write(stream, mine, wire.MaxHelloBytes); err != nil {
+	if err := write(stream, mine, wire.MaxHelloBytes); err != nil {
 		m.unregister(l)
 		return nil, err
 	}
--- a/internal/edge/mesh/link.go
+++ b/internal/edge/mesh/link.go
@@ -90,7 +90,7 @@
 		if _, ok := l.outbox.Take(batch, ring.Forever); !ok {
 			return
 		}
-		if err := l.mesh.write(l.beats, batch[0], wire.MaxHeartbeatBytes); err != nil {
+		if err := write(l.beats, batch[0], wire.MaxHeartbeatBytes); err != nil {
 			return
 		}
 		l.mesh.counters.beatsSent.Add(1)
@@ -123,20 +123,17 @@
 	return demandSilenceLimit
 }
 
-// write sends a frame and counts its bytes.
-func (m *Mesh) write(w io.Writer, msg proto.Message, limit int) error {
-	n, err := wire.WriteFrame(w, msg, limit)
-	m.counters.bytesSent.Add(uint64(n))
-	if err != nil {
+// write sends a frame.
+func write(w io.Writer, msg proto.Message, limit int) error {
+	if _, err := wire.WriteFrame(w, msg, limit); err != nil {
 		return fmt.Errorf("mesh: %w", err)
 	}
 	return nil
 }
 
-// read takes a frame and counts its bytes, and the frame if it is refused.
+// read takes a frame, and counts it if it is refused.
 func (m *Mesh) read(r io.Reader, msg proto.Message, limit int) error {
-	n, err := wire.ReadFrame(r, msg, limit)
-	m.counters.bytesRead.Add(uint64(n))
+	_, err := wire.ReadFrame(r, msg, limit)
 	switch {
 	case err == nil:
 		return nil
