--- a/internal/core/membership/event.go
+++ b/internal/core/membership/event.go
@@ -35,7 +35,9 @@
 	Note uint64
 	// Hash covers all facts and convictions of the sender.
 	Hash uint64
-	// UpTo is the position in the sender's log up to which this heartbeat tells.
+	// From and UpTo are the positions in the sender's log between which this heartbeat
+	// tells; whoever has merged up to From has then merged up to UpTo.
+	From uint64
 	UpTo uint64
 	// Merged is the position in the receiver's log that the sender has merged.
 	Merged      uint64
@@ -43,6 +45,11 @@
 	Convictions []engine.Conviction
 	// Leaving tells that the sender is shutting down.
 	Leaving bool
+	// Ask asks for an answer at once.
+	Ask bool
+	// WatchDistance is the number of links from the sender to a host that watches the
+	// platform, plus one; 0 where it knows of none.
+	WatchDistance uint32
 }
 
 // Event is something that happened outside the core.
@@ -73,6 +80,9 @@
 // PlatformWord tells that a call to the platform, begun at Began, succeeded.
 type PlatformWord struct{ Began time.Duration }
 
+// Watching tells whether this host watches the platform with success.
+type Watching struct{ Watching bool }
+
 // LocalFacts is first-hand knowledge of this host.
 type LocalFacts struct {
 	Facts       []engine.TargetFact
@@ -82,8 +92,12 @@
 // WordWanted asks for a word from the platform or a peer that is not older than Since.
 type WordWanted struct{ Since time.Duration }
 
-// FetchEnded tells that a fetch of notes from a peer is over.
-type FetchEnded struct{ Peer string }
+// FetchEnded tells that a fetch of notes from a peer is over. Number is the highest
+// that it brought, 0 for none.
+type FetchEnded struct {
+	Peer   string
+	Number uint64
+}
 
 // Drain tells that this host is shutting down.
 type Drain struct{}
@@ -93,6 +107,7 @@
 func (*LinkDown) event()     {}
 func (*Heard) event()        {}
 func (*PlatformWord) event() {}
+func (*Watching) event()     {}
 func (*LocalFacts) event()   {}
 func (*WordWanted) event()   {}
 func (*FetchEnded) event()   {}
--- a/internal/edge/mesh/link.go
+++ b/internal/edge/mesh/link.go
@@ -90,7 +90,7 @@
 		if _, ok := l.outbox.Take(batch, ring.Forever); !ok {
 			return
 		}
-		if err := l.mesh.write(l.beats, batch[0], wire.MaxHeartbeatBytes); err != nil {
+		if err := write(l.beats, batch[0], wire.MaxHeartbeatBytes); err != nil {
 			return
 		}
 		l.mesh.counters.beatsSent.Add(1)
@@ -100,7 +100,7 @@
 func (l *link) readBeats() {
 	defer l.close()
 	for {
-		if err := l.beats.SetReadDeadline(time.Now().Add(silenceLimit)); err != nil {
+		if err := l.beats.SetReadDeadline(time.Now().Add(l.mesh.silenceLimit(l.peer))); err != nil {
 			return
 		}
 		h := &wire.Heartbeat{}
@@ -112,20 +112,28 @@
 	}
 }
 
-// write sends a frame and counts its bytes.
-func (m *Mesh) write(w io.Writer, msg proto.Message, limit int) error {
-	n, err := wire.WriteFrame(w, msg, limit)
-	m.counters.bytesSent.Add(uint64(n))
-	if err != nil {
+// silenceLimit is how long a link may bring no heartbeat; they are rarer where no peer
+// keeps it standing.
+func (m *Mesh) silenceLimit(peer string) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.standing[peer] {
+		return silenceLimit
+	}
+	return demandSilenceLimit
+}
+
+// write sends a frame.
+func write(w io.Writer, msg proto.Message, limit int) error {
+	if _, err := wire.WriteFrame(w, msg, limit); err != nil {
 		return fmt.Errorf("mesh: %w", err)
 	}
 	return nil
 }
 
-// read takes a frame and counts its bytes, and the frame if it is refused.
+// read takes a frame, and counts it if it is refused.
 func (m *Mesh) read(r io.Reader, msg proto.Message, limit int) error {
-	n, err := wire.ReadFrame(r, msg, limit)
-	m.counters.bytesRead.Add(uint64(n))
+	_, err := wire.ReadFrame(r, msg, limit)
 	switch {
 	case err == nil:
 		return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"pollentack.example/pollentack/internal/edge/await"
 	"pollentack.example/pollentack/internal/edge/front"
 	"pollentack.example/pollentack/internal/edge/httpd"
+	"pollentack.example/pollentack/internal/edge/mesh"
 	"pollentack.example/pollentack/internal/edge/platform"
 	"pollentack.example/pollentack/internal/edge/targetclient"
 	"pollentack.example/pollentack/internal/edge/trace"
@@ -33,6 +34,7 @@
 // Node is one running host.
 type Node struct {
 	settings *settings.Settings
+	options  Options
 	log      zerolog.Logger
 	tracer   *trace.Tracer
 	clock    wallclock.Clock
@@ -43,6 +45,7 @@
 	control  *controller
 	health   *health
 	reader   *platform.Reader
+	members  *members
 	front    *front.Front
 	admin    *admin.Admin
 
@@ -59,18 +62,18 @@
 type Options struct {
 	Log    zerolog.Logger
 	Tracer *trace.Tracer
-	// Peers replaces the mesh where it is set.
-	Peers Peers
+	// MeshDial replaces the dial of peers where it is set.
+	MeshDial mesh.DialFunc
 }
 
 // Start runs a host until Stop. Listeners open last, so that no request meets a host
 // whose duties do not run yet.
 func Start(s *settings.Settings, o Options) (*Node, error) {
-	n := &Node{settings: s, log: o.Log, tracer: o.Tracer, clock: wallclock.New(), failed: make(chan error, maxDuties), hurry: make(chan struct{})}
-	if o.Peers == nil {
-		o.Peers = noPeers{}
+	n := &Node{
+		settings: s, options: o, log: o.Log, tracer: o.Tracer, clock: wallclock.New(),
+		failed: make(chan error, maxDuties), hurry: make(chan struct{}),
 	}
-	if err := n.start(o.Peers); err != nil {
+	if err := n.start(); err != nil {
 		n.Stop()
 		return nil, fmt.Errorf("start host %q: %w", s.Host.Name, err)
 	}
@@ -78,20 +81,33 @@
 	return n, nil
 }
 
-func (n *Node) start(peers Peers) error {
+func (n *Node) start() error {
 	var err error
 	if n.duties, err = duty.NewGroup(maxDuties, n.dutyFailed); err != nil {
 		return err
 	}
-	if err = n.startQueries(peers); err != nil {
+	if n.members, err = newMembers(n.settings, &n.options, n.clock); err != nil {
+		return err
+	}
+	if err = n.startQueries(n.members.peers()); err != nil {
 		return err
 	}
 	if err = n.startControl(); err != nil {
 		return err
 	}
+	if err = n.startMembers(); err != nil {
+		return err
+	}
 	return n.listen()
 }
 
+// startMembers starts the duty that the queries and the control duty hear from.
+func (n *Node) startMembers() error {
+	n.members.queries = n.queries.put
+	n.members.control = n.control.put
+	return n.duties.Start(n.members.duty())
+}
+
 func (n *Node) startQueries(peers Peers) error {
 	client, err := targetclient.New(n.settings.Host.Name, n.clock, n.tracer)
 	if err != nil {
@@ -110,6 +126,7 @@
 		return err
 	}
 	n.dispatch.peers = n.once
+	n.queries.tell = n.members.tell
 	n.queries.dispatch = n.dispatch.put
 	n.queries.connections = client.Connections
 	n.health = newHealth(client.Health, n.queries.put)
@@ -124,6 +141,7 @@
 
 func (n *Node) startControl() error {
 	n.control = newController(n.clock, n.log, n.inForce)
+	n.control.peers = n.members.inForce
 	if err := n.duties.Start(n.control.duty()); err != nil {
 		return err
 	}
@@ -152,6 +170,7 @@
 		return err
 	}
 	n.queries.setDeliver(n.front.Deliver)
+	n.members.setIsolated(n.front.SetIsolated)
 	n.admin, err = admin.Start(n.settings.Listen.Admin, httpd.Limits{BodyBytes: adminBodyBytes}, func() any { return n.Status() })
 	return err
 }
--- a/internal/testbed/replace.go
+++ b/internal/testbed/replace.go
@@ -4,14 +4,12 @@
 
 // Kill ends host i as a crash does. Its name answers no call until Restart.
 func (t *Testbed) Kill(i int) {
-	t.peers.leave(t.hosts[i].Name)
 	t.Nodes[i].Abort()
 }
 
 // Leave ends host i gracefully.
 func (t *Testbed) Leave(i int) {
 	t.Nodes[i].Stop()
-	t.peers.leave(t.hosts[i].Name)
 }
 
 // Restart starts a new process for host i, whose last one has ended, and waits until it
