--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -30,19 +30,36 @@
 	MaxQueries int
 	// Hedge sends a second attempt to another replica when the first is late.
 	Hedge bool
+	// Targets selects the baselines of limits, warm-up and selection.
+	Targets target.Options
+	// Queue bounds the admitted requests that wait; 0 admits without a queue.
+	Queue int
+	// MaxGap is the time between steps above which the host woke late; 0 does not look.
+	MaxGap time.Duration
 	// Once bounds the requests that run at most once.
 	Once once.Config
 }
 
 // Counters are totals since the start, for metrics.
 type Counters struct {
-	Queries        uint64 `json:"queries"`
-	Refusals       uint64 `json:"refusals"`
-	FirstAttempts  uint64 `json:"first_attempts"`
-	Hedges         uint64 `json:"hedges"`
-	Retries        uint64 `json:"retries"`
+	Queries       uint64 `json:"queries"`
+	Refusals      uint64 `json:"refusals"`
+	FirstAttempts uint64 `json:"first_attempts"`
+	Hedges        uint64 `json:"hedges"`
+	Retries       uint64 `json:"retries"`
+	// Resends are attempts in place of one that is known not to have run.
+	Resends        uint64 `json:"resends"`
 	LateReplies    uint64 `json:"late_replies"`
 	WrongSnapshots uint64 `json:"wrong_snapshots"`
+	// UnknownReplies match no open attempt: duplicates and crossed replies.
+	UnknownReplies    uint64 `json:"unknown_replies"`
+	TruncatedReplies  uint64 `json:"truncated_replies"`
+	CrossedReplies    uint64 `json:"crossed_replies"`
+	StaleIncarnations uint64 `json:"stale_incarnations"`
+	SnapshotsDenied   uint64 `json:"snapshots_denied"`
+	ShardsLost        uint64 `json:"shards_lost"`
+	Restarts          uint64 `json:"restarts"`
+	LateWakes         uint64 `json:"late_wakes"`
 }
 
 // Engine is the data plane's core.
@@ -50,40 +67,60 @@
 	cfg      Config
 	rng      *rand.Rand
 	state    *release.State
-	plans    map[*release.Snapshot]plan
-	targets  *target.Table
-	queries  map[query.ID]*query.Query
-	byKey    map[uint64]query.ID
-	waiting  map[string][]query.AttemptID
+	services map[string]*query.Service
+	plans    map[planKey]*query.Plan
+	// withdrawn holds plans that only pinned queries still use.
+	withdrawn []*query.Plan
+	// groupsOf lists by target ID the groups that the target is a replica of.
+	groupsOf  [][]*query.Group
+	nextGroup uint64
+	targets   *target.Table
+	queries   map[query.ID]*query.Query
+	// ended holds queries that were answered and have attempts in progress.
+	ended map[query.ID]*query.Query
+	byKey map[uint64]query.ID
+	// pool holds queries for reuse.
+	pool []*query.Query
+	// waiting is the number of waiters in all groups, turn where the next look begins.
+	waiting  int
+	turn     int
 	timers   timerHeap
 	nextID   query.ID
 	draining bool
 	isolated bool
 	counters Counters
+	gate     gate
+	turnDue  bool
 	once     onceState
+	pause    pause
 }
 
-// plan is a snapshot's replicas by target ID.
-type plan [][]target.ID
-
 // New returns an engine that refuses everything until a Release event.
 func New(cfg Config) *Engine {
 	rng := rand.New(rand.NewPCG(cfg.Seed, 0))
-	return &Engine{
-		cfg:     cfg,
-		rng:     rng,
-		plans:   map[*release.Snapshot]plan{},
-		targets: target.NewTable(rng),
-		queries: map[query.ID]*query.Query{},
-		byKey:   map[uint64]query.ID{},
-		waiting: map[string][]query.AttemptID{},
-		once:    newOnceState(&cfg.Once),
+	e := &Engine{
+		cfg:      cfg,
+		rng:      rng,
+		services: map[string]*query.Service{},
+		plans:    map[planKey]*query.Plan{},
+		targets:  target.NewTable(rng),
+		queries:  map[query.ID]*query.Query{},
+		ended:    map[query.ID]*query.Query{},
+		byKey:    map[uint64]query.ID{},
+		gate:     newGate(cfg.Queue),
+		once:     newOnceState(&cfg.Once),
 	}
+	e.targets.Configure(cfg.Targets)
+	return e
 }
 
 // Step handles one event.
 func (e *Engine) Step(now clock.Instant, ev Event, fx *Effects) {
-	e.Advance(now, fx)
+	e.advance(now, fx)
+	if e.hold(now, ev, fx) {
+		e.afterStep(now, fx)
+		return
+	}
 	switch ev := ev.(type) {
 	case *Submit:
 		e.submit(now, ev.Request, fx)
@@ -92,7 +129,7 @@
 	case *CallerGone:
 		e.callerGone(now, ev.Key, fx)
 	case *Release:
-		e.release(ev.State)
+		e.release(now, ev.State, fx)
 	case *Health:
 		e.health(ev)
 	case *Drain:
@@ -100,24 +137,42 @@
 	case *PeerFacts:
 		e.peerFacts(ev)
 	case *Isolation:
-		e.isolated = ev.Isolated
+		e.isolation(now, ev, fx)
+	case *Word:
+		e.word(now, ev, fx)
 	default:
 		e.stepOnce(now, ev, fx)
 	}
 	e.resumeRuns(now, fx)
+	e.afterStep(now, fx)
 }
 
 // Advance ends what is due at now.
 func (e *Engine) Advance(now clock.Instant, fx *Effects) {
+	e.advance(now, fx)
+	e.afterStep(now, fx)
+}
+
+func (e *Engine) advance(now clock.Instant, fx *Effects) {
+	e.targets.Tick(now)
+	e.noticeGap(now, fx)
+	e.expireHeld(now, fx)
 	for {
 		t, ok := e.timers.popDue(now.Mono)
 		if !ok {
 			return
 		}
+		if e.ownTimer(now, t, fx) {
+			continue
+		}
 		if t.kind == timerOnceRun || t.kind == timerOnceCall {
 			e.onceDue(t, fx)
 			continue
 		}
+		if t.kind == timerWake {
+			e.wake(now, t, fx)
+			continue
+		}
 		q, ok := e.queries[t.query]
 		if !ok {
 			continue
@@ -125,17 +180,25 @@
 		switch t.kind {
 		case timerDeadline:
 			e.finish(now, q, fx)
-		case timerHedge:
-			e.hedge(now, q, fx)
+		case timerSweep:
+			e.sweep(now, q, fx)
 		}
 	}
 }
 
 // NextWake returns when Advance must next be called, and false for never.
-func (e *Engine) NextWake() (time.Duration, bool) { return e.timers.next() }
+func (e *Engine) NextWake() (time.Duration, bool) {
+	due, ok := e.timers.next()
+	if wake, looks := e.pauseWake(); looks && (!ok || wake < due) {
+		return wake, true
+	}
+	return due, ok
+}
 
-// InProgress returns the number of requests in progress.
-func (e *Engine) InProgress() int { return len(e.queries) + e.once.inProgress() }
+// InProgress returns the number of requests in progress, those that wait included.
+func (e *Engine) InProgress() int {
+	return len(e.queries) + e.gate.size + len(e.pause.held) + e.once.inProgress()
+}
 
 // Draining reports whether the engine refuses new work for a graceful shutdown.
 func (e *Engine) Draining() bool { return e.draining }
@@ -149,43 +212,26 @@
 // Targets gives read access to the target table for status reports.
 func (e *Engine) Targets() *target.Table { return e.targets }
 
-func (e *Engine) release(s *release.State) {
-	e.state = s
-	e.targets.Apply(s)
-	e.plans = map[*release.Snapshot]plan{}
-	e.planRuns(s)
-	for _, svc := range s.Services {
-		for _, snap := range svc.Snapshots {
-			e.plans[snap] = e.planOf(snap)
-		}
+// health takes a hint only: a target that its health endpoint alone calls leaving comes
+// after its peers, and one that claims a snapshot is asked for it again.
+func (e *Engine) health(ev *Health) {
+	if ev.Name != "" {
+		ev.Target = e.targets.Lookup(ev.Name)
 	}
-}
-
-func (e *Engine) planOf(snap *release.Snapshot) plan {
-	p := make(plan, len(snap.Shards))
-	for i, shard := range snap.Shards {
-		for _, name := range shard.Replicas {
-			p[i] = append(p[i], e.targets.Lookup(name))
-		}
+	if ev.Target == target.None {
+		return
+	}
+	e.targets.HintLeaving(ev.Target, ev.Leaving)
+	e.observeHealth(ev)
+	service := e.targets.Entry(ev.Target).Spec.Service
+	for _, key := range ev.Snapshots {
+		e.claimed(service, key, ev.Target)
 	}
-	return p
-}
-
-func (e *Engine) health(h *Health) {
-	entry := e.targets.Entry(h.Target)
-	entry.Leaving = entry.Leaving || h.Leaving
 }
 
 // peerFacts takes hearsay of targets: only a newer incarnation or a departure counts.
 func (e *Engine) peerFacts(ev *PeerFacts) {
-	for _, fact := range ev.Targets {
-		id := e.targets.Lookup(fact.Target)
-		if id == target.None {
-			continue
-		}
-		entry := e.targets.Entry(id)
-		entry.Leaving = entry.Leaving || fact.Leaving
-	}
+	e.hearFacts(ev.Targets)
 }
 
 func (e *Engine) refuse(key uint64, code result.Code, detail string, fx *Effects) {
--- a/internal/core/engine/once.go
+++ b/internal/core/engine/once.go
@@ -88,14 +88,17 @@
 }
 
 func (e *Engine) mintTicket(now clock.Instant, req *TicketRequest) (once.Ticket, *result.Error) {
-	svc, err := e.admit(&query.Request{Key: req.Key, KeyHash: req.KeyHash, Service: req.Service})
+	caller, svc, err := e.admit(&query.Request{Key: req.Key, KeyHash: req.KeyHash, Service: req.Service})
+	if err == nil {
+		err = e.takeToken(now, caller)
+	}
 	if err != nil {
 		return once.Ticket{}, err
 	}
 	if !svc.Once {
 		return once.Ticket{}, &result.Error{Code: result.BadRequest, Detail: fmt.Sprintf("service %q takes no tickets", svc.Name)}
 	}
-	return e.once.table.Mint(now, svc.Name, e.state.CallerByKeyHash(req.KeyHash).Name)
+	return e.once.table.Mint(now, svc.Name, caller.Name)
 }
 
 // submitOnce takes one presentation of a ticket. From here on only the host that holds
--- a/internal/core/engine/oncerun.go
+++ b/internal/core/engine/oncerun.go
@@ -78,7 +78,7 @@
 }
 
 func (e *Engine) offerRun(run *onceRun, fx *Effects) bool {
-	id, _ := e.targets.Pick(e.once.targets[run.req.Service], run.last)
+	id := e.targets.PickRun(e.once.targets[run.req.Service], run.last)
 	if id == target.None {
 		return false
 	}
@@ -96,6 +96,7 @@
 		Body:        run.req.Body,
 		Deadline:    run.deadline,
 		TraceParent: run.req.TraceParent,
+		Guard:       e.guard(id),
 	})
 	return true
 }
@@ -126,13 +127,16 @@
 		return
 	}
 	run.sent = false
-	e.observe(&Reply{
+	e.observeTarget(&Reply{
 		Target:      r.Target,
 		Outcome:     r.Outcome,
 		Incarnation: r.Incarnation,
 		Cold:        r.Cold,
 		Leaving:     r.Leaving,
 		Elapsed:     r.Elapsed,
+
+		ClaimedIncarnation: r.ClaimedIncarnation,
+		Disconnected:       r.Disconnected,
 	})
 	name := e.targets.Entry(r.Target).Spec.Name
 	switch {
