--- a/internal/faultmatrix/faults_test.go
+++ b/internal/faultmatrix/faults_test.go
@@ -37,7 +37,7 @@
 	{"reply late", func(_ *world, _ *host, t *fakeTarget) { t.spoil = delayReply }},
 	{"reply duplicated", func(_ *world, _ *host, t *fakeTarget) { t.spoil = duplicateReply }},
 	{"reply crossed", func(_ *world, _ *host, t *fakeTarget) { t.spoil = crossReply }},
-	{"reply truncated", func(_ *world, _ *host, t *fakeTarget) { t.spoil = loseReply }},
+	{"reply truncated", func(_ *world, _ *host, t *fakeTarget) { t.spoil = truncateReply }},
 	{"reply of another snapshot", func(_ *world, _ *host, t *fakeTarget) { t.spoil = otherSnapshot }},
 	{"health endpoint lying", func(_ *world, _ *host, t *fakeTarget) { t.lying = true; t.restart() }},
 	{"platform down", func(w *world, _ *host, _ *fakeTarget) { w.platform.down = true }},
@@ -124,7 +124,17 @@
 }
 
 func loseReply(r *engine.Reply) []part {
-	return []part{{reply: &engine.Reply{Attempt: r.Attempt, Target: r.Target, Outcome: engine.Lost, Elapsed: r.Elapsed}}}
+	return []part{{reply: &engine.Reply{Attempt: r.Attempt, Target: r.Target, Outcome: engine.Lost, Elapsed: r.Elapsed, Disconnected: true}}}
+}
+
+// truncateReply is what the target client makes of a body that ends too soon.
+func truncateReply(r *engine.Reply) []part {
+	cut := *r
+	if r.Outcome == engine.Answered {
+		cut.Outcome = engine.Truncated
+		cut.Hits = nil
+	}
+	return []part{{reply: &cut}}
 }
 
 func delayReply(r *engine.Reply) []part { return []part{{reply: r, delay: 2 * queryDeadline}} }
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -141,6 +141,7 @@
 		for j := i; j < len(faults); j++ {
 			second := faults[j]
 			t.Run(first.name+"/"+second.name, func(t *testing.T) {
+				t.Parallel()
 				for seed := range uint64(pairSeeds) {
 					draw := int(seed)*len(faults)*len(faults) + i*len(faults) + j
 					plan := []*injection{
--- a/internal/faultmatrix/observer_test.go
+++ b/internal/faultmatrix/observer_test.go
@@ -127,14 +127,18 @@
 	}
 }
 
-// sent sees an attempt leave a host.
-func (o *observer) sent(h *host, t *fakeTarget, s *engine.Send) {
+// received sees work reach a target that is up.
+func (o *observer) received(h *host, t *fakeTarget) {
 	if at, ok := o.leavingAt[t.name]; ok && o.w.now > at+stopNewWorkWithin && h.pausedUntil+stopNewWorkWithin < o.w.now {
 		o.fail(checkLeaving, "%s sends to %s, leaving since %s", hostName(h.index), t.name, at)
 	}
 	if at, ok := o.zoneOutAt[t.zone]; ok && o.w.now > at+stopNewWorkWithin && o.reachesPlatform(h) {
 		o.fail(checkZone, "%s sends to %s, whose zone is out since %s", hostName(h.index), t.name, at)
 	}
+}
+
+// sent sees an attempt leave a host.
+func (o *observer) sent(h *host, t *fakeTarget, s *engine.Send) {
 	if o.knows[t.name][h.index] {
 		o.informed[t.name][keyOf(h, s.Attempt)] = true
 	}
@@ -194,7 +198,8 @@
 		return
 	}
 	got, ok := parseDoc(r.Hits[0].Doc)
-	if w := o.byBody[got.body]; ok && w != nil {
+	// A reply that is read at the deadline or later comes too late to count.
+	if w := o.byBody[got.body]; ok && w != nil && o.w.now < w.caller.deadline {
 		w.replies[got] = true
 	}
 }
--- a/internal/faultmatrix/once_test.go
+++ b/internal/faultmatrix/once_test.go
@@ -139,9 +139,11 @@
 	switch {
 	case t.down:
 		r.Outcome = engine.Unreachable
+		r.Disconnected = true
 	case t.shedding || len(t.running) >= targetSlots:
 		r.Outcome = engine.Shed
 	default:
+		t.w.observer.received(h, t)
 		t.run(h, life, s)
 		return
 	}
@@ -155,10 +157,11 @@
 	incarnation := t.incarnation
 	t.w.after(usualWork/2, func() { t.w.inject(stepRunning, h, t) })
 	t.w.after(usualWork, func() {
-		r := &engine.Reply{Target: s.Target, Outcome: engine.Lost}
+		r := &engine.Reply{Target: s.Target, Outcome: engine.Lost, Disconnected: true}
 		if t.incarnation == incarnation {
 			t.end(key)
 			r.Outcome = engine.Answered
+			r.Disconnected = false
 		}
 		t.sign(r)
 		r.Snapshot.Layout = fmt.Sprintf("run %d", f.began)
@@ -173,7 +176,8 @@
 		ev := &engine.RunReply{
 			Run: s.Run, Try: s.Try, Target: s.Target, Outcome: part.reply.Outcome,
 			Incarnation: part.reply.Incarnation, Cold: part.reply.Cold, Leaving: part.reply.Leaving,
-			Output: []byte(r.Snapshot.Layout),
+			Disconnected: part.reply.Disconnected,
+			Output:       []byte(r.Snapshot.Layout),
 		}
 		if part.reply.Attempt.Shard != r.Attempt.Shard {
 			ev.Run++
--- a/internal/faultmatrix/scenario_test.go
+++ b/internal/faultmatrix/scenario_test.go
@@ -93,14 +93,19 @@
 	}
 	w.after(loadBegins, w.load)
 	w.after(loadBegins, w.feeLoad)
-	w.after(faultAfter, func() { w.lifeSteps() })
+	w.after(faultAfter, w.lifeSteps)
 	w.run(scenarioEnds)
 	w.observer.finish()
 	return w.observer
 }
 
-// lifeSteps makes a note, a stop and a start happen in every scenario.
+// lifeSteps makes a note, declined attempts, a stop and a start happen in every scenario.
 func (w *world) lifeSteps() {
+	w.after(400*time.Millisecond, func() {
+		for replica := range zones {
+			shedBriefly(w, nil, w.targets[targetName(0, replica)])
+		}
+	})
 	w.after(200*time.Millisecond, func() { w.change(callerItem("caller-2", "second")) })
 	w.after(time.Second, func() { w.stopHost(w.hosts[hostCount-1]) })
 }
--- a/internal/faultmatrix/target_test.go
+++ b/internal/faultmatrix/target_test.go
@@ -63,9 +63,11 @@
 	r := &engine.Reply{Attempt: s.Attempt, Target: s.Target}
 	if t.down {
 		r.Outcome = engine.Unreachable
+		r.Disconnected = true
 		t.reply(h, life, r)
 		return
 	}
+	t.w.observer.received(h, t)
 	t.sign(r)
 	switch {
 	case !t.held[s.Snapshot.Key()]:
@@ -184,7 +186,7 @@
 		}
 		h := t.w.hosts[key.host]
 		id := h.engine.Targets().Lookup(t.name)
-		r := &engine.Reply{Attempt: key.attempt, Target: id, Outcome: engine.Lost}
+		r := &engine.Reply{Attempt: key.attempt, Target: id, Outcome: engine.Lost, Disconnected: true}
 		t.w.after(networkDelay, func() { t.handOver(h, key.life, r) })
 	}
 	t.incarnation++
