--- a/cmd/pollentack/main.go
+++ b/cmd/pollentack/main.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/alecthomas/kong"
@@ -26,6 +27,8 @@
 	Serve      serveCmd      `cmd:"" help:"Run one entry host."`
 	Standin    standinCmd    `cmd:"" help:"Run a stand-in platform and stand-in targets."`
 	Query      queryCmd      `cmd:"" help:"Send one query to a host and print the answer."`
+	Ticket     ticketCmd     `cmd:"" help:"Get a ticket for a request that runs at most once."`
+	Once       onceCmd       `cmd:"" help:"Send a request that runs at most once, or learn its outcome."`
 	Status     statusCmd     `cmd:"" help:"Show what hosts have in force and what differs between them."`
 	Settings   settingsCmd   `cmd:"" help:"Work with settings files."`
 	Note       noteCmd       `cmd:"" help:"Work with release notes, offline."`
@@ -33,12 +36,18 @@
 	Version    versionCmd    `cmd:"" help:"Print the version."`
 }
 
-func main() {
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run carries out one command line and returns the exit code. A command that takes an
+// io.Writer prints to stdout.
+func run(args []string, stdout, stderr io.Writer) int {
 	var c cli
 	parser := kong.Must(&c,
 		kong.Name("pollentack"),
 		kong.Description("A query tier over many shards.\n\nExit codes: 0 done, 1 the command ran and failed, 2 wrong usage or a faulty file."),
 		kong.UsageOnError(),
+		kong.Writers(stdout, stderr),
+		kong.BindTo(stdout, (*io.Writer)(nil)),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 		kong.Exit(func(code int) {
 			if code != 0 {
@@ -47,19 +56,19 @@
 			os.Exit(code)
 		}),
 	)
-	ctx, err := parser.Parse(os.Args[1:])
+	ctx, err := parser.Parse(args)
 	parser.FatalIfErrorf(err)
-	os.Exit(exitCode(ctx.Run()))
+	return exitCode(ctx.Run(), stderr)
 }
 
-func exitCode(err error) int {
+func exitCode(err error, stderr io.Writer) int {
 	if err == nil {
 		return 0
 	}
 	if errors.Is(err, errFailed) {
 		return exitFailed
 	}
-	fmt.Fprintln(os.Stderr, err)
+	fmt.Fprintln(stderr, err)
 	var usage *usageError
 	if errors.As(err, &usage) {
 		return exitUsage
--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"pollentack.example/pollentack/internal/core/clock"
+	"pollentack.example/pollentack/internal/core/once"
 	"pollentack.example/pollentack/internal/core/query"
 	"pollentack.example/pollentack/internal/core/release"
 	"pollentack.example/pollentack/internal/core/result"
@@ -29,6 +30,12 @@
 	MaxQueries int
 	// Hedge sends a second attempt to another replica when the first is late.
 	Hedge bool
+	// Targets selects the baselines of limits, warm-up and selection.
+	Targets target.Options
+	// Queue bounds the admitted requests that wait; 0 admits without a queue.
+	Queue int
+	// Once bounds the requests that run at most once.
+	Once once.Config
 }
 
 // Counters are totals since the start, for metrics.
@@ -79,12 +86,15 @@
 	draining bool
 	isolated bool
 	counters Counters
+	gate     gate
+	turnDue  bool
+	once     onceState
 }
 
 // New returns an engine that refuses everything until a Release event.
 func New(cfg Config) *Engine {
 	rng := rand.New(rand.NewPCG(cfg.Seed, 0))
-	return &Engine{
+	e := &Engine{
 		cfg:      cfg,
 		rng:      rng,
 		services: map[string]*query.Service{},
@@ -93,12 +103,16 @@
 		queries:  map[query.ID]*query.Query{},
 		ended:    map[query.ID]*query.Query{},
 		byKey:    map[uint64]query.ID{},
+		gate:     newGate(cfg.Queue),
+		once:     newOnceState(&cfg.Once),
 	}
+	e.targets.Configure(cfg.Targets)
+	return e
 }
 
 // Step handles one event.
 func (e *Engine) Step(now clock.Instant, ev Event, fx *Effects) {
-	e.Advance(now, fx)
+	e.advance(now, fx)
 	switch ev := ev.(type) {
 	case *Submit:
 		e.submit(now, ev.Request, fx)
@@ -116,16 +130,33 @@
 		e.peerFacts(ev)
 	case *Isolation:
 		e.isolated = ev.Isolated
+	default:
+		e.stepOnce(now, ev, fx)
 	}
+	e.resumeRuns(now, fx)
+	e.afterStep(now, fx)
 }
 
 // Advance ends what is due at now.
 func (e *Engine) Advance(now clock.Instant, fx *Effects) {
+	e.advance(now, fx)
+	e.afterStep(now, fx)
+}
+
+func (e *Engine) advance(now clock.Instant, fx *Effects) {
+	e.targets.Tick(now)
 	for {
 		t, ok := e.timers.popDue(now.Mono)
 		if !ok {
 			return
 		}
+		if e.ownTimer(now, t, fx) {
+			continue
+		}
+		if t.kind == timerOnceRun || t.kind == timerOnceCall {
+			e.onceDue(t, fx)
+			continue
+		}
 		if t.kind == timerWake {
 			e.wake(now, t, fx)
 			continue
@@ -146,8 +177,8 @@
 // NextWake returns when Advance must next be called, and false for never.
 func (e *Engine) NextWake() (time.Duration, bool) { return e.timers.next() }
 
-// InProgress returns the number of queries in progress.
-func (e *Engine) InProgress() int { return len(e.queries) }
+// InProgress returns the number of requests in progress, those that wait included.
+func (e *Engine) InProgress() int { return len(e.queries) + e.gate.size + e.once.inProgress() }
 
 // Draining reports whether the engine refuses new work for a graceful shutdown.
 func (e *Engine) Draining() bool { return e.draining }
@@ -171,6 +202,7 @@
 		return
 	}
 	e.targets.HintLeaving(ev.Target, ev.Leaving)
+	e.observeHealth(ev)
 	service := e.targets.Entry(ev.Target).Spec.Service
 	for _, key := range ev.Snapshots {
 		e.claimed(service, key, ev.Target)
@@ -179,14 +211,7 @@
 
 // peerFacts takes hearsay of targets: only a newer incarnation or a departure counts.
 func (e *Engine) peerFacts(ev *PeerFacts) {
-	for _, fact := range ev.Targets {
-		id := e.targets.Lookup(fact.Target)
-		if id == target.None {
-			continue
-		}
-		entry := e.targets.Entry(id)
-		entry.Leaving = entry.Leaving || fact.Leaving
-	}
+	e.hearFacts(ev.Targets)
 }
 
 func (e *Engine) refuse(key uint64, code result.Code, detail string, fx *Effects) {
--- a/internal/core/engine/gather.go
+++ b/internal/core/engine/gather.go
@@ -146,12 +146,7 @@
 // observe takes first-hand knowledge of the target from the end of an attempt.
 func (e *Engine) observe(now clock.Instant, q *query.Query, r *Reply, sent time.Duration) {
 	elapsed := now.Mono - sent
-	e.targets.Done(r.Target, r.Elapsed, r.Outcome == Answered)
-	entry := e.targets.Entry(r.Target)
-	entry.Leaving = entry.Leaving || r.Leaving
-	if r.Incarnation > entry.Incarnation {
-		entry.Incarnation = r.Incarnation
-	}
+	e.observeTarget(r)
 	g := &q.Plan.Groups[r.Attempt.Shard]
 	switch r.Outcome {
 	case Answered:
--- a/internal/core/engine/lifecycle.go
+++ b/internal/core/engine/lifecycle.go
@@ -11,18 +11,15 @@
 )
 
 // start begins an admitted query on a plan.
-func (e *Engine) start(now clock.Instant, req *query.Request, svc *release.Service, plan *query.Plan, fx *Effects) {
-	timeout := svc.Policy.Deadline
-	if req.Timeout > 0 && req.Timeout < timeout {
-		timeout = req.Timeout
-	}
-	q := e.newQuery(req, plan)
+func (e *Engine) start(now clock.Instant, w *waiter, svc *release.Service, plan *query.Plan, fx *Effects) {
+	q := e.newQuery(w.req, plan)
 	q.Policy = svc.Policy
 	q.Service = e.service(svc.Name)
-	q.Started = now.Mono
-	q.Deadline = now.Mono + timeout
+	q.Started = w.arrived
+	q.Deadline = w.deadline
 	q.Attempts, q.Restarts, q.Ran = 0, 0, false
 	e.counters.Queries++
+	e.gate.started(w.req.Key, svc.Name, now.Mono)
 	e.enter(now, q, fx)
 }
 
@@ -121,6 +118,7 @@
 	} else {
 		e.counters.Refusals++
 	}
+	e.gate.ended(q.Request.Key, code, now.Mono)
 	e.detach(q, fx)
 	fx.Answers = append(fx.Answers, answer)
 }
@@ -149,6 +147,7 @@
 func (e *Engine) callerGone(now clock.Instant, key uint64, fx *Effects) {
 	id, ok := e.byKey[key]
 	if !ok {
+		e.dropQueued(key)
 		return
 	}
 	e.finish(now, e.queries[id], fx)
--- a/internal/core/engine/scatter.go
+++ b/internal/core/engine/scatter.go
@@ -71,14 +71,16 @@
 	q.Open++
 	slot.Waiting = false
 	try := slot.Begin(c.ID, now.Mono)
-	fx.Sends = append(fx.Sends, Send{
+	send := Send{
 		Attempt:  query.AttemptID{Query: q.ID, Shard: shard, Try: try},
 		Target:   c.ID,
 		Spec:     entry.Spec,
 		Snapshot: q.Plan.Snapshot,
 		Request:  q.Request,
 		Deadline: q.Deadline,
-	})
+	}
+	e.grant(&send)
+	fx.Sends = append(fx.Sends, send)
 	return c
 }
 
--- a/internal/core/engine/snapshot.go
+++ b/internal/core/engine/snapshot.go
@@ -56,6 +56,8 @@
 	}
 	e.withdrawn = slices.DeleteFunc(e.withdrawn, func(p *query.Plan) bool { return p.Pinned == 0 })
 	e.indexGroups()
+	e.planRuns(s)
+	e.gate.release(s, e.targets.Hosts())
 	e.wakeAll(now, fx)
 }
 
--- a/internal/core/engine/timer.go
+++ b/internal/core/engine/timer.go
@@ -12,6 +12,11 @@
 	timerDeadline timerKind = iota + 1
 	timerSweep
 	timerWake
+	timerOnceRun
+	timerOnceCall
+	// timerTurn and timerQueue belong to no query.
+	timerTurn
+	timerQueue
 )
 
 // timer belongs to a query, or to a group for timerWake.
--- a/internal/core/engine/world_test.go
+++ b/internal/core/engine/world_test.go
@@ -147,6 +147,10 @@
 		w.check(a)
 	}
 	w.fx.Reset()
+	// A query that began again may have sent nothing yet, its targets being cold.
+	for key, id := range w.engine.byKey {
+		w.newest[key] = id
+	}
 }
 
 // open lists the attempts that have not ended, oldest first.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"pollentack.example/pollentack/internal/inifile"
@@ -19,6 +21,24 @@
 	Policy   Policy
 	Log      Log
 	Trace    Trace
+	Mesh     Mesh
+	Once     Once
+	Stop     Stop
+}
+
+// Mesh names the PEM files of mutual TLS between hosts; all are empty on loopback.
+type Mesh struct {
+	Certificate string
+	Key         string
+	Authority   string
+	// Seeds are peers that a starting host asks when the platform is down.
+	Seeds []Seed
+}
+
+// Seed is a peer's name and mesh address.
+type Seed struct {
+	Name    string
+	Address string
 }
 
 // Host says who this process is.
@@ -43,7 +63,9 @@
 
 // Limits bound what the host holds.
 type Limits struct {
-	Queries     int
+	Queries int
+	// Queue is the number of admitted queries that may wait, 0 for no queue.
+	Queue       int
 	BodyBytes   int
 	Connections int
 }
@@ -52,6 +74,10 @@
 type Policy struct {
 	Hedge bool
 	Seed  int
+	// StaticLimit, NoWarmUp and RoundRobin select baselines of package target.
+	StaticLimit bool
+	NoWarmUp    bool
+	RoundRobin  bool
 }
 
 // Log says how much is logged.
@@ -64,8 +90,6 @@
 	File     string
 }
 
-const knownSections = "host, listen, platform, limits, policy, log, trace"
-
 // Default returns the settings of an empty file; name and addresses are missing.
 func Default() *Settings {
 	s, _ := Parse("default", nil)
@@ -85,49 +109,80 @@
 func Parse(name string, text []byte) (*Settings, error) {
 	f := inifile.Parse(name, text)
 	s := &Settings{}
-	readers := map[string]func(*inifile.Section){
-		"host":     s.readHost,
-		"listen":   s.readListen,
-		"platform": s.readPlatform,
-		"limits":   s.readLimits,
-		"policy":   s.readPolicy,
-		"log":      s.readLog,
-		"trace":    s.readTrace,
+	readers := []sectionReader{
+		{"host", s.readHost},
+		{"listen", s.readListen},
+		{"platform", s.readPlatform},
+		{"limits", s.readLimits},
+		{"policy", s.readPolicy},
+		{"log", s.readLog},
+		{"trace", s.readTrace},
+		{"mesh", s.readMesh},
+		{"once", s.readOnce},
+		{"stop", s.readStop},
 	}
-	for _, section := range f.Sections {
-		read, ok := readers[section.Name]
-		if !ok {
-			f.Unknown(section, knownSections)
-			continue
+	for _, reader := range readers {
+		section := f.Section(reader.name)
+		if section == nil {
+			section = inifile.Empty(f, reader.name)
 		}
-		read(section)
+		reader.read(section)
 		section.RejectUnused()
-		delete(readers, section.Name)
 	}
-	for section, read := range readers {
-		read(inifile.Empty(f, section))
+	for _, section := range f.Sections {
+		if !slices.ContainsFunc(readers, func(r sectionReader) bool { return r.name == section.Name }) {
+			f.Unknown(section, sectionNames(readers))
+		}
 	}
 	return s, f.Err()
 }
 
+// sectionReader reads one section, which may be empty.
+type sectionReader struct {
+	name string
+	read func(*inifile.Section)
+}
+
+func sectionNames(readers []sectionReader) string {
+	names := make([]string, len(readers))
+	for i, r := range readers {
+		names[i] = r.name
+	}
+	return strings.Join(names, ", ")
+}
+
 func (s *Settings) readHost(sec *inifile.Section) {
-	s.Host.Name = sec.Required("name")
-	s.Host.Zone = sec.Required("availability-zone")
+	s.Host.Name = sec.RequiredName("name")
+	s.Host.Zone = sec.RequiredName("availability-zone")
 }
 
 func (s *Settings) readListen(sec *inifile.Section) {
-	s.Listen.Front = sec.Required("front")
-	s.Listen.Admin = sec.Required("admin")
-	s.Listen.Mesh = sec.Text("mesh", "")
+	s.Listen.Front = sec.Address("front")
+	s.Listen.Admin = sec.Address("admin")
+	s.Listen.Mesh = sec.OptionalAddress("mesh")
+	rejectRepeated(sec, "front", "admin", "mesh")
+}
+
+// rejectRepeated adds a fault for a listener on the address of an earlier one.
+func rejectRepeated(sec *inifile.Section, keys ...string) {
+	owner := map[string]string{}
+	for _, key := range keys {
+		address := sec.Text(key, "")
+		if first, taken := owner[address]; taken && address != "" {
+			sec.Fault(key, "repeats the address of %s; allowed is one of its own", first)
+		}
+		owner[address] = key
+	}
 }
 
 func (s *Settings) readPlatform(sec *inifile.Section) {
-	s.Platform.Address = sec.Required("address")
+	s.Platform.Address = sec.Address("address")
 	s.Platform.Poll = sec.Duration("poll", 10*time.Second, 100*time.Millisecond, time.Minute)
 }
 
 func (s *Settings) readLimits(sec *inifile.Section) {
 	s.Limits.Queries = sec.Int("queries", 4096, 1, 1_000_000)
+	s.Limits.Queue = sec.Int("queue", 1024, 0, 1_000_000)
 	s.Limits.BodyBytes = sec.Int("body-bytes", 64<<10, 1<<10, 16<<20)
 	s.Limits.Connections = sec.Int("connections", 2048, 1, 65_535)
 }
@@ -135,6 +190,9 @@
 func (s *Settings) readPolicy(sec *inifile.Section) {
 	s.Policy.Hedge = sec.Bool("hedge", true)
 	s.Policy.Seed = sec.Int("seed", 1, 0, 1<<31-1)
+	s.Policy.StaticLimit = sec.Choice("limit", "adaptive", "adaptive", "static") == "static"
+	s.Policy.NoWarmUp = !sec.Bool("warm-up", true)
+	s.Policy.RoundRobin = sec.Choice("selection", "two-choice", "two-choice", "round-robin") == "round-robin"
 }
 
 func (s *Settings) readLog(sec *inifile.Section) {
@@ -143,6 +201,30 @@
 
 func (s *Settings) readTrace(sec *inifile.Section) {
 	s.Trace.Exporter = sec.Choice("exporter", "none", "none", "otlp", "file")
-	s.Trace.Address = sec.Text("address", "")
+	s.Trace.Address = sec.OptionalAddress("address")
 	s.Trace.File = sec.Text("file", "")
+	switch {
+	case s.Trace.Exporter == "otlp" && s.Trace.Address == "":
+		sec.Address("address")
+	case s.Trace.Exporter == "file" && s.Trace.File == "":
+		sec.Required("file")
+	}
+}
+
+func (s *Settings) readMesh(sec *inifile.Section) {
+	s.Mesh.Certificate = sec.Text("certificate", "")
+	s.Mesh.Key = sec.Text("key", "")
+	s.Mesh.Authority = sec.Text("authority", "")
+	set := s.Mesh.Certificate != "" || s.Mesh.Key != "" || s.Mesh.Authority != ""
+	if set && (s.Mesh.Certificate == "" || s.Mesh.Key == "" || s.Mesh.Authority == "") {
+		sec.Fault("certificate", "certificate, key and authority are set together or not at all")
+	}
+	for _, text := range sec.List("seeds") {
+		name, address, ok := strings.Cut(text, "@")
+		if !ok || name == "" || address == "" {
+			sec.Fault("seeds", "%q is not NAME@ADDRESS", text)
+			continue
+		}
+		s.Mesh.Seeds = append(s.Mesh.Seeds, Seed{Name: name, Address: address})
+	}
 }
