--- a/internal/experiment/zone.go
+++ b/internal/experiment/zone.go
@@ -29,8 +29,7 @@
 	// maxZoneStop bounds the time from the note to the last new work in the zone.
 	maxZoneStop  = 2 * time.Second
 	zoneBaseline = 6 * time.Second
-	// zoneCapacity keeps the load under 70% of the slots that are left.
-	zoneSlots = 8
+	zoneSlots    = 8
 )
 
 // zoneOutcome is one run.
@@ -122,8 +121,8 @@
 	time.Sleep(zoneSettle + time.Duration(rand.New(rand.NewPCG(seed, 1)).Int64N(int64(time.Second))))
 	zone := bed.Layout.Zones[0]
 	targets := targetsOf(bed, zone.Name)
-	changeZone(bed, zone, true)
 	noted := time.Now()
+	changeZone(bed, zone, true)
 	time.Sleep(zoneOut)
 	for _, t := range targets {
 		out.stop = max(out.stop, t.Report().LastBegan.Sub(noted))
