--- a/internal/edge/targetclient/client.go
+++ b/internal/edge/targetclient/client.go
@@ -75,8 +75,13 @@
 	if left <= 0 {
 		return reply
 	}
-	if (s.NotAfter != 0 || dials && s.Check) && !c.checkIncarnation(s, left, reply) {
-		return reply
+	if needsCheck(&s.Guard, dials) {
+		if held := c.checkIncarnation(s.Spec.Address, &s.Guard, left); held.outcome != 0 {
+			reply.Outcome = held.outcome
+			reply.ClaimedIncarnation = held.claimed
+			reply.Disconnected = held.disconnected
+			return reply
+		}
 	}
 	body, err := json.Marshal(c.searchRequest(s, left))
 	if err != nil {
--- a/internal/edge/targetclient/connections.go
+++ b/internal/edge/targetclient/connections.go
@@ -107,26 +107,36 @@
 	return c.Conn.Close()
 }
 
+// holdback is why a request was not sent after the check of its target; the zero value
+// lets it go out.
+type holdback struct {
+	outcome engine.Outcome
+	// claimed is the incarnation that the health endpoint spoke of, where it differs.
+	claimed      uint64
+	disconnected bool
+}
+
+// needsCheck reports whether a request must follow a check of its target.
+func needsCheck(g *engine.Guard, dials bool) bool { return g.NotAfter != 0 || dials && g.Check }
+
 // checkIncarnation asks the health endpoint, over a connection that the request will
-// use, whether the target is the one that the engine knows. Otherwise reply says that
-// the request was held back. A target whose health endpoint fails is not held to it.
+// use, whether the target is the one that the engine knows. A target whose health
+// endpoint fails is not held to it.
 //
-// For a cold target within its published budget only the connection matters: the call is repeated by the HTTP client
-// until it meets one that the target's restart did not break.
-func (c *Client) checkIncarnation(s *engine.Send, left time.Duration, reply *engine.Reply) bool {
+// For a cold target within its published budget only the connection matters: the call
+// is repeated by the HTTP client until it meets one that the target's restart did not
+// break.
+func (c *Client) checkIncarnation(address string, g *engine.Guard, left time.Duration) holdback {
 	var health targetapi.HealthReply
-	err := c.do(&call{address: s.Spec.Address, path: targetapi.PathHealth, timeout: left}, &health)
+	err := c.do(&call{address: address, path: targetapi.PathHealth, timeout: left}, &health)
 	if err != nil && outcomeOfError(err) == engine.Unreachable {
-		reply.Disconnected = true
-		return false
+		return holdback{outcome: engine.Unreachable, disconnected: true}
 	}
-	if err != nil || !s.Check {
-		return true
+	if err != nil || !g.Check {
+		return holdback{}
 	}
-	if s.Incarnation == 0 && !health.Cold || s.Incarnation == health.Incarnation {
-		return true
+	if g.Incarnation == 0 && !health.Cold || g.Incarnation == health.Incarnation {
+		return holdback{}
 	}
-	reply.Outcome = engine.ColdRefused
-	reply.ClaimedIncarnation = health.Incarnation
-	return false
+	return holdback{outcome: engine.ColdRefused, claimed: health.Incarnation}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,8 +14,10 @@
 	"pollentack.example/pollentack/internal/core/engine"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/admin"
+	"pollentack.example/pollentack/internal/edge/await"
 	"pollentack.example/pollentack/internal/edge/front"
 	"pollentack.example/pollentack/internal/edge/httpd"
+	"pollentack.example/pollentack/internal/edge/mesh"
 	"pollentack.example/pollentack/internal/edge/platform"
 	"pollentack.example/pollentack/internal/edge/targetclient"
 	"pollentack.example/pollentack/internal/edge/trace"
@@ -32,6 +34,7 @@
 // Node is one running host.
 type Node struct {
 	settings *settings.Settings
+	options  Options
 	log      zerolog.Logger
 	tracer   *trace.Tracer
 	clock    wallclock.Clock
@@ -42,23 +45,34 @@
 	control  *controller
 	health   *health
 	reader   *platform.Reader
+	members  *members
 	front    *front.Front
 	admin    *admin.Admin
 
-	stopOnce sync.Once
-	failed   chan error
+	once    *oncePeers
+	tickets *front.Once
+
+	stopOnce  sync.Once
+	hurryOnce sync.Once
+	hurry     chan struct{}
+	failed    chan error
 }
 
 // Options are what the process gives its host beside the settings.
 type Options struct {
 	Log    zerolog.Logger
 	Tracer *trace.Tracer
+	// MeshDial replaces the dial of peers where it is set.
+	MeshDial mesh.DialFunc
 }
 
 // Start runs a host until Stop. Listeners open last, so that no request meets a host
 // whose duties do not run yet.
 func Start(s *settings.Settings, o Options) (*Node, error) {
-	n := &Node{settings: s, log: o.Log, tracer: o.Tracer, clock: wallclock.New(), failed: make(chan error, maxDuties)}
+	n := &Node{
+		settings: s, options: o, log: o.Log, tracer: o.Tracer, clock: wallclock.New(),
+		failed: make(chan error, maxDuties), hurry: make(chan struct{}),
+	}
 	if err := n.start(); err != nil {
 		n.Stop()
 		return nil, fmt.Errorf("start host %q: %w", s.Host.Name, err)
@@ -72,24 +86,47 @@
 	if n.duties, err = duty.NewGroup(maxDuties, n.dutyFailed); err != nil {
 		return err
 	}
-	if err = n.startQueries(); err != nil {
+	if n.members, err = newMembers(n.settings, &n.options, n.clock); err != nil {
+		return err
+	}
+	if err = n.startQueries(n.members.peers()); err != nil {
 		return err
 	}
 	if err = n.startControl(); err != nil {
 		return err
 	}
+	if err = n.startMembers(); err != nil {
+		return err
+	}
 	return n.listen()
 }
 
-func (n *Node) startQueries() error {
+// startMembers starts the duty that the queries and the control duty hear from.
+func (n *Node) startMembers() error {
+	n.members.queries = n.queries.put
+	n.members.control = n.control.put
+	return n.duties.Start(n.members.duty())
+}
+
+func (n *Node) startQueries(peers Peers) error {
 	client, err := targetclient.New(n.settings.Host.Name, n.clock, n.tracer)
 	if err != nil {
 		return err
 	}
-	n.queries = newQueries(n.settings, n.clock)
+	tickets, err := onceConfig(n.settings)
+	if err != nil {
+		return err
+	}
+	n.queries = newQueries(n.settings, n.clock, &tickets)
+	waiters := await.New[engine.OnceAnswer]()
+	n.queries.deliverOnce = waiters.Deliver
+	n.once = &oncePeers{peers: peers, clock: n.clock, submit: n.queries.submit, waiters: waiters}
+	n.tickets = front.NewOnce(n.queries.submit, waiters, n.tracer)
 	if n.dispatch, err = newDispatch(n.settings.Limits.Connections, client, n.queries.put); err != nil {
 		return err
 	}
+	n.dispatch.peers = n.once
+	n.queries.tell = n.members.tell
 	n.queries.dispatch = n.dispatch.put
 	n.queries.connections = client.Connections
 	n.health = newHealth(client.Health, n.queries.put)
@@ -98,11 +135,13 @@
 			return err
 		}
 	}
+	n.once.handle()
 	return nil
 }
 
 func (n *Node) startControl() error {
 	n.control = newController(n.clock, n.log, n.inForce)
+	n.control.peers = n.members.inForce
 	if err := n.duties.Start(n.control.duty()); err != nil {
 		return err
 	}
@@ -126,11 +165,12 @@
 func (n *Node) listen() error {
 	var err error
 	limits := httpd.Limits{BodyBytes: n.settings.Limits.BodyBytes}
-	n.front, err = front.Start(n.settings.Listen.Front, limits, n.tracer, func(s *engine.Submit) bool { return n.queries.submit(s) })
+	n.front, err = front.Start(n.settings.Listen.Front, limits, n.tracer, func(s *engine.Submit) bool { return n.queries.submit(s) }, n.tickets.Routes)
 	if err != nil {
 		return err
 	}
 	n.queries.setDeliver(n.front.Deliver)
+	n.members.setIsolated(n.front.SetIsolated)
 	n.admin, err = admin.Start(n.settings.Listen.Admin, httpd.Limits{BodyBytes: adminBodyBytes}, func() any { return n.Status() })
 	return err
 }
@@ -148,23 +188,3 @@
 
 // AdminAddress returns where operators reach the host.
 func (n *Node) AdminAddress() string { return n.admin.Address() }
-
-// Stop is the graceful shutdown: it fails the balancer's check, lets every request in
-// progress end and then stops the duties.
-func (n *Node) Stop() { n.stopOnce.Do(n.stop) }
-
-func (n *Node) stop() {
-	if n.front != nil {
-		n.front.FailHealth()
-		n.queries.put(&engine.Drain{})
-		n.queries.awaitIdle()
-		n.front.Stop()
-	}
-	if n.admin != nil {
-		n.admin.Stop()
-	}
-	if n.duties != nil {
-		n.duties.Stop()
-	}
-	n.log.Info().Str("event", "host_stopped").Send()
-}
--- a/internal/standin/cold.go
+++ b/internal/standin/cold.go
@@ -133,8 +133,8 @@
 }
 
 // expired reports whether the request came after the turn in which it was sent.
-func expired(req *targetapi.SearchRequest) bool {
-	return req.NotAfterMicros > 0 && time.Now().UnixMicro() >= req.NotAfterMicros
+func expired(notAfterMicros int64) bool {
+	return notAfterMicros > 0 && time.Now().UnixMicro() >= notAfterMicros
 }
 
 // timeLeft is how long the target may work on the request.
