--- a/internal/core/engine/cold.go
+++ b/internal/core/engine/cold.go
@@ -71,7 +71,7 @@
 			Incarnation: entry.Incarnation,
 			Cold:        entry.Cold,
 			Level:       int32(entry.Level),
-			Leaving:     entry.Leaving,
+			Leaving:     entry.SaidLeaving,
 		})
 	})
 	if e.turnDue {
--- a/internal/core/release/fold.go
+++ b/internal/core/release/fold.go
@@ -29,6 +29,7 @@
 	if len(f.faults) > 0 {
 		return nil, f.faults
 	}
+	f.next.indexCallers()
 	return f.next, nil
 }
 
--- a/internal/core/release/state.go
+++ b/internal/core/release/state.go
@@ -6,7 +6,11 @@
 // are pure, so every host gives the same verdict on the same note.
 package release
 
-import "time"
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"time"
+)
 
 // Criticality orders services under pressure: the lower is shed first.
 type Criticality int
@@ -120,16 +124,40 @@
 	Zones    map[string]*Zone
 	// Hosts are sorted by name.
 	Hosts []Host
+
+	// byKeyHash indexes the callers of a folded state.
+	byKeyHash map[[sha256.Size]byte]*Caller
+}
+
+// indexCallers makes CallerByKeyHash independent of the number of callers. Of two callers
+// with the same key the one whose name sorts first has it on every host.
+func (s *State) indexCallers() {
+	s.byKeyHash = s.callersByKeyHash()
 }
 
-// CallerByKeyHash returns the caller with this key hash, or nil.
-func (s *State) CallerByKeyHash(hash [32]byte) *Caller {
+func (s *State) callersByKeyHash() map[[sha256.Size]byte]*Caller {
+	index := make(map[[sha256.Size]byte]*Caller, len(s.Callers))
 	for _, c := range s.Callers {
-		if c.KeyHash == hash {
-			return c
+		if other, ok := index[c.KeyHash]; !ok || c.Name < other.Name {
+			index[c.KeyHash] = c
 		}
 	}
-	return nil
+	return index
+}
+
+// CallerByKeyHash returns the caller with this key hash, or nil. The last comparison
+// takes the same time whether the hashes are equal or not.
+func (s *State) CallerByKeyHash(hash [sha256.Size]byte) *Caller {
+	index := s.byKeyHash
+	if index == nil {
+		// The state was not folded, and a reader may not change it.
+		index = s.callersByKeyHash()
+	}
+	c, ok := index[hash]
+	if !ok || subtle.ConstantTimeCompare(c.KeyHash[:], hash[:]) != 1 {
+		return nil
+	}
+	return c
 }
 
 // ZoneOut reports whether the named zone has been taken out or is unknown.
--- a/internal/core/target/cold.go
+++ b/internal/core/target/cold.go
@@ -72,6 +72,7 @@
 	changed := e.Observe(t.now, s)
 	if e.Incarnation != incarnation && e.Spec != nil && t.byName[e.Spec.Name] == id {
 		e.Leaving = e.Spec.Leaving
+		e.SaidLeaving = false
 		e.Latency = 0
 	}
 	if s.Answered && s.Incarnation != 0 && s.Incarnation < e.claimed {
@@ -106,10 +107,11 @@
 // ObserveLeaving takes the word of the target, or of a peer, that it is leaving.
 func (t *Table) ObserveLeaving(id ID) {
 	e := &t.entries[id]
-	if e.Leaving {
+	if e.SaidLeaving {
 		return
 	}
 	e.Leaving = true
+	e.SaidLeaving = true
 	t.tell(id)
 }
 
--- a/internal/core/target/table.go
+++ b/internal/core/target/table.go
@@ -33,7 +33,9 @@
 	Latency time.Duration
 	// Leaving is set by the first of the note, the host list, a peer or the target itself.
 	Leaving bool
-	ZoneOut bool
+	// SaidLeaving is set by the target's own word or a peer's, which the note outlives.
+	SaidLeaving bool
+	ZoneOut     bool
 	// LiveKnown is set once a first-hand reply has arrived.
 	LiveKnown bool
 
--- a/internal/experiment/cold.go
+++ b/internal/experiment/cold.go
@@ -104,7 +104,10 @@
 }
 
 func coldRun(seed uint64, warmUp bool, limit time.Duration) (*coldOutcome, error) {
-	bed, err := testbed.Start(coldLayout(seed), testbed.Options{Adjust: func(_ int, s *settings.Settings) { s.Policy.NoWarmUp = !warmUp }})
+	bed, err := testbed.Start(coldLayout(seed), testbed.Options{Adjust: func(_ int, s *settings.Settings) {
+		s.Policy.NoWarmUp = !warmUp
+		s.Listen.Mesh = ""
+	}})
 	if err != nil {
 		return nil, err
 	}
