Decide when to call the platform in a core; reading by turn

Cause: every host held a watch, a stop waited for the watch in progress (up to the poll time), a note that was damaged once on its way was never read again, and one that follows a superseded note was dropped unseen.

The reader only makes the calls, on two duties, and a stop closes their connections. Control holds notes by number, refuses a second successor, and tells each refusal once. The list of hosts reaches the engine once for each departure.

--- /dev/null
+++ b/internal/core/control/control_test.go
@@ -0,0 +1,188 @@
+package control
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"pollentack.example/pollentack/internal/core/clock"
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/core/watch"
+)
+
+func add(items ...release.Item) []release.Item {
+	for i := range items {
+		items[i].Op = release.Add
+	}
+	return items
+}
+
+func baseline(number uint64) *release.Note {
+	return &release.Note{Number: number, Baseline: true, Items: add(
+		release.Item{Zone: &release.Zone{Name: "dakar-a", Region: "dakar"}},
+		release.Item{Service: &release.Service{Name: "licences"}},
+		release.Item{Target: &release.Target{Name: "t0", Service: "licences", Zone: "dakar-a"}},
+	)}
+}
+
+// changeNote adds a target, and lacks its service if bad.
+func changeNote(number, follows uint64, bad bool) *release.Note {
+	service := "licences"
+	if bad {
+		service = "gone"
+	}
+	target := &release.Target{Name: fmt.Sprintf("t%d", number), Service: service, Zone: "dakar-a"}
+	return &release.Note{Number: number, Follows: follows, Items: add(release.Item{Target: target})}
+}
+
+// published is a chain of notes, some of them bad, and the state of each good number.
+type published struct {
+	notes  []*release.Note
+	states map[uint64]*release.State
+	last   uint64
+}
+
+func drawPublished(t *rapid.T) *published {
+	p := &published{states: map[uint64]*release.State{}}
+	var state *release.State
+	for number := uint64(1); number <= 12; number++ {
+		n := baseline(number)
+		bad := false
+		if number > 1 && rapid.IntRange(0, 5).Draw(t, "baseline") > 0 {
+			bad = rapid.IntRange(0, 3).Draw(t, "bad") == 0
+			n = changeNote(number, state.Number, bad)
+		}
+		p.notes = append(p.notes, n)
+		if bad {
+			continue
+		}
+		next, faults := release.Fold(state, n)
+		if len(faults) > 0 {
+			t.Fatalf("note %d is refused: %v", number, faults)
+		}
+		state = next
+		p.states[number] = state
+		p.last = number
+	}
+	return p
+}
+
+// drawEvent takes any published note, whole, damaged or under a forged number.
+func drawEvent(t *rapid.T, p *published) *NoteRead {
+	n := rapid.SampledFrom(p.notes).Draw(t, "note")
+	ev := &NoteRead{Number: n.Number, Note: n}
+	switch rapid.IntRange(0, 5).Draw(t, "damage") {
+	case 0:
+		ev.Note = &release.Note{Number: n.Number}
+		ev.Faults = []release.Fault{{Line: 3, Reason: "section [end] is missing: the note was cut short"}}
+	case 1:
+		ev.Number += uint64(rapid.IntRange(1, 20).Draw(t, "forged"))
+	}
+	return ev
+}
+
+// TestAnyOrderGivesOneState drives several hosts with the published notes in any order,
+// lost, repeated, damaged and under forged numbers. The number in force never goes down,
+// and every host has the same state for the same number. Once each note has been read
+// whole, the last good one is in force everywhere.
+func TestAnyOrderGivesOneState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := drawPublished(t)
+		hosts := []*Control{New(watch.Config{}), New(watch.Config{}), New(watch.Config{})}
+		deliver := func(c *Control, ev *NoteRead) {
+			var fx Effects
+			before := c.Number()
+			c.Step(clock.Instant{}, ev, &fx)
+			if c.Number() < before {
+				t.Fatalf("number went from %d back to %d", before, c.Number())
+			}
+			if c.Number() > before != (fx.InForce != nil) {
+				t.Fatalf("number went from %d to %d, and the effects say %v", before, c.Number(), fx.InForce)
+			}
+			if c.Number() > 0 && !reflect.DeepEqual(c.State(), p.states[c.Number()]) {
+				t.Fatalf("state of note %d differs from the one that the notes add up to", c.Number())
+			}
+		}
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			deliver(rapid.SampledFrom(hosts).Draw(t, "host"), drawEvent(t, p))
+		}
+		for _, c := range hosts {
+			for _, n := range p.notes {
+				deliver(c, &NoteRead{Number: n.Number, Note: n})
+			}
+			if c.Number() != p.last {
+				t.Fatalf("note %d is in force, want %d; refused %v, waiting %v", c.Number(), p.last, c.Rejected(), c.Waiting())
+			}
+		}
+	})
+}
+
+func stepAll(c *Control, events ...Event) Effects {
+	var all Effects
+	for _, ev := range events {
+		var fx Effects
+		c.Step(clock.Instant{}, ev, &fx)
+		all.Rejected = append(all.Rejected, fx.Rejected...)
+		all.Leaving = append(all.Leaving, fx.Leaving...)
+	}
+	return all
+}
+
+func read(n *release.Note) *NoteRead { return &NoteRead{Number: n.Number, Note: n} }
+
+func TestBadNoteIsToldOnceAndForgottenOnceGood(t *testing.T) {
+	c := New(watch.Config{})
+	damaged := &NoteRead{Number: 2, Note: &release.Note{}, Faults: []release.Fault{{Line: 9, Reason: "cut short"}}}
+	fx := stepAll(c, read(baseline(1)), damaged, damaged)
+	if len(fx.Rejected) != 1 || len(c.Rejected()) != 1 || c.Number() != 1 {
+		t.Fatalf("told %v, kept %v, note %d in force", fx.Rejected, c.Rejected(), c.Number())
+	}
+	stepAll(c, read(changeNote(2, 1, false)))
+	if c.Number() != 2 || len(c.Rejected()) != 0 {
+		t.Fatalf("note %d in force, still refused: %v", c.Number(), c.Rejected())
+	}
+}
+
+// TestSecondSuccessorIsRefused publishes two notes that follow the same one.
+func TestSecondSuccessorIsRefused(t *testing.T) {
+	c := New(watch.Config{})
+	stepAll(c, read(baseline(1)), read(changeNote(2, 1, false)), read(changeNote(3, 1, false)))
+	rejected := c.Rejected()
+	if c.Number() != 2 || len(rejected) != 1 || rejected[0].Number != 3 || rejected[0].Faults[0].Key != "follows" {
+		t.Fatalf("note %d in force, refused %v", c.Number(), rejected)
+	}
+}
+
+// TestHeldNotesAreBounded holds more notes than fit: the lowest are kept.
+func TestHeldNotesAreBounded(t *testing.T) {
+	c := New(watch.Config{})
+	stepAll(c, read(baseline(1)))
+	for number := uint64(1000); number > 2; number-- {
+		stepAll(c, read(changeNote(number, number-1, false)))
+	}
+	if len(c.Waiting()) != maxWaiting {
+		t.Fatalf("%d notes wait, want %d", len(c.Waiting()), maxWaiting)
+	}
+	stepAll(c, read(changeNote(2, 1, false)))
+	if want := uint64(2 + maxWaiting); c.Number() != want {
+		t.Fatalf("note %d in force, want %d", c.Number(), want)
+	}
+}
+
+func TestListOfHostsTellsEachDepartureOnce(t *testing.T) {
+	c := New(watch.Config{})
+	list := func(hosts ...HostEntry) *CallEnded {
+		return &CallEnded{Result: watch.Result{Call: watch.Call{Kind: watch.KindHosts}}, Hosts: hosts}
+	}
+	gone, live := HostEntry{Name: "a", Leaving: true}, HostEntry{Name: "a"}
+	for i, step := range []struct {
+		ev   *CallEnded
+		want int
+	}{{list(live), 0}, {list(gone, gone), 1}, {list(gone), 0}, {list(), 0}, {list(gone), 1}} {
+		if fx := stepAll(c, step.ev); len(fx.Leaving) != step.want {
+			t.Errorf("step %d tells %v, want %d names", i, fx.Leaving, step.want)
+		}
+	}
+}
--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -94,6 +94,8 @@
 		e.draining = true
 	case *PeerFacts:
 		e.peerFacts(ev)
+	case *HostList:
+		e.hostList(ev)
 	case *Isolation:
 		e.isolated = ev.Isolated
 	}
--- a/internal/core/release/fold.go
+++ b/internal/core/release/fold.go
@@ -13,7 +13,7 @@
 	f := folder{next: emptyState()}
 	if !note.Baseline {
 		if s == nil || s.Number != note.Follows {
-			return nil, []Fault{{Item: "note", Reason: fmt.Sprintf("follows %d, which is not in force", note.Follows)}}
+			return nil, []Fault{{Item: "note", Key: "follows", Reason: fmt.Sprintf("names %d, which is not in force", note.Follows)}}
 		}
 		f.next = s.clone()
 	}
--- /dev/null
+++ b/internal/core/watch/watch_test.go
@@ -0,0 +1,258 @@
+package watch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pollentack.example/pollentack/internal/core/clock"
+	"pollentack.example/pollentack/internal/core/release"
+)
+
+func fleet(zones, perZone int) []release.Host {
+	hosts := make([]release.Host, 0, zones*perZone)
+	for z := range zones {
+		for h := range perZone {
+			hosts = append(hosts, release.Host{Name: fmt.Sprintf("host-%d-%d", z, h), Zone: fmt.Sprintf("zone-%d", z)})
+		}
+	}
+	return hosts
+}
+
+// TestWatchersTakeTurns checks that two hosts of a zone watch in every turn, and each
+// host within as many turns as the zone has hosts.
+func TestWatchersTakeTurns(t *testing.T) {
+	for perZone := 1; perZone <= 9; perZone++ {
+		hosts := fleet(2, perZone)
+		seen := map[string]bool{}
+		for turn := range int64(perZone) {
+			watchers := 0
+			for _, h := range hosts {
+				if newZone(hosts, "zone-1", h.Name).watchesIn(turn) {
+					watchers++
+					seen[h.Name] = true
+				}
+			}
+			if want := min(perZone, watchersPerZone); watchers != want {
+				t.Errorf("%d hosts, turn %d: %d watch, want %d", perZone, turn, watchers, want)
+			}
+		}
+		if len(seen) != perZone {
+			t.Errorf("of %d hosts only %v had a turn", perZone, seen)
+		}
+	}
+}
+
+// platform answers calls at once or, for a watch, after its wait or the next note.
+type platform struct {
+	head    uint64
+	down    bool
+	calls   int
+	watches []*pendingWatch
+}
+
+type pendingWatch struct {
+	host  int
+	call  Call
+	until time.Duration
+}
+
+// site is a fleet of Watches over one platform on a virtual clock.
+type site struct {
+	platform platform
+	watches  []*Watch
+	inForce  []uint64
+	wakes    []time.Duration
+	hosts    []release.Host
+	// peers makes hosts hear of each other.
+	peers bool
+}
+
+const step = 10 * time.Millisecond
+
+func newSite(zones, perZone int, peers, poll bool) *site {
+	hosts := fleet(zones, perZone)
+	s := &site{platform: platform{head: 1}, peers: peers, hosts: hosts, inForce: make([]uint64, len(hosts)), wakes: make([]time.Duration, len(hosts))}
+	for i, h := range hosts {
+		w := New(Config{Host: h.Name, Zone: h.Zone, Wait: 10 * time.Second, Seed: uint64(i), Poll: poll})
+		w.InForce(&release.State{Number: 1, Hosts: hosts})
+		s.inForce[i] = 1
+		s.watches = append(s.watches, w)
+	}
+	return s
+}
+
+func (s *site) run(from, to time.Duration) {
+	for at := from; at < to; at += step {
+		now := clock.Instant{Mono: at, Wall: at}
+		s.endWatches(now)
+		for i, w := range s.watches {
+			if s.wakes[i] <= at {
+				s.serve(now, i, w)
+				s.wakes[i] = w.NextWake(now)
+			}
+		}
+		if s.peers && at%time.Second == 0 {
+			s.gossip(now)
+		}
+	}
+}
+
+func (s *site) gossip(now clock.Instant) {
+	newest := uint64(0)
+	for _, number := range s.inForce {
+		newest = max(newest, number)
+	}
+	for i, w := range s.watches {
+		w.PeerHeard(now, newest)
+		s.wakes[i] = now.Mono
+	}
+}
+
+func (s *site) endWatches(now clock.Instant) {
+	open := s.platform.watches
+	s.platform.watches = nil
+	for _, p := range open {
+		if s.platform.down || now.Mono >= p.until || s.platform.head > p.call.After {
+			s.wakes[p.host] = now.Mono
+			s.watches[p.host].Ended(now, &Result{Call: p.call, Failed: s.platform.down, Head: s.platform.head})
+			continue
+		}
+		s.platform.watches = append(s.platform.watches, p)
+	}
+}
+
+func (s *site) serve(now clock.Instant, i int, w *Watch) {
+	for {
+		calls := w.Advance(now)
+		if len(calls) == 0 {
+			return
+		}
+		for _, c := range calls {
+			s.platform.calls++
+			if c.Kind == KindWait && !s.platform.down {
+				s.platform.watches = append(s.platform.watches, &pendingWatch{host: i, call: c, until: now.Mono + c.Wait})
+				continue
+			}
+			if c.Kind == KindNote && !s.platform.down && c.Number <= s.platform.head {
+				s.inForce[i] = c.Number
+				w.InForce(&release.State{Number: c.Number, Hosts: s.hosts})
+			}
+			w.Ended(now, &Result{Call: c, Failed: s.platform.down, Head: s.platform.head})
+		}
+	}
+}
+
+func (s *site) behind() (n int) {
+	for _, number := range s.inForce {
+		if number < s.platform.head {
+			n++
+		}
+	}
+	return n
+}
+
+// TestEveryHostReadsANewNote publishes a note to nine hosts that hear of no peer: all
+// have it within two seconds, the bound of the brief being a few.
+func TestEveryHostReadsANewNote(t *testing.T) {
+	for begin := 20 * time.Second; begin < 150*time.Second; begin += 7 * time.Second {
+		s := newSite(3, 3, false, false)
+		s.run(0, begin)
+		s.platform.head++
+		s.run(begin, begin+2*time.Second)
+		if n := s.behind(); n > 0 {
+			t.Errorf("published at %s: %d of 9 hosts lack the note two seconds later", begin, n)
+		}
+	}
+}
+
+// TestNoteAfterAnOutage takes the platform away for ten minutes.
+func TestNoteAfterAnOutage(t *testing.T) {
+	s := newSite(3, 3, false, false)
+	s.run(0, 20*time.Second)
+	s.platform.down = true
+	before := s.platform.calls
+	s.run(20*time.Second, 620*time.Second)
+	perHost := float64(s.platform.calls-before) / 9
+	if most := 2 * 600 / (maxRetry / 2).Seconds(); perHost > most {
+		t.Errorf("%.0f calls a host during the outage, allowed are %.0f", perHost, most)
+	}
+	s.platform.down = false
+	s.platform.head++
+	s.run(620*time.Second, 620*time.Second+maxRetry+2*time.Second)
+	if n := s.behind(); n > 0 {
+		t.Errorf("%d of 9 hosts lack the note after the outage", n)
+	}
+}
+
+// TestCallRateOfALargeFleet bounds the calls of 3,900 hosts in 13 zones, with and
+// without peers, by the platform's 2,000 a second.
+func TestCallRateOfALargeFleet(t *testing.T) {
+	for _, peers := range []bool{true, false} {
+		s := newSite(13, 300, peers, false)
+		s.run(0, 30*time.Second)
+		before := s.platform.calls
+		s.run(30*time.Second, 60*time.Second)
+		rate := float64(s.platform.calls-before) / 30
+		t.Logf("peers %t: %.1f calls a second", peers, rate)
+		if rate > 2000 {
+			t.Errorf("peers %t: %.0f calls a second, the platform bears 2000", peers, rate)
+		}
+	}
+}
+
+// TestRefusedNoteIsReadSeldom keeps a note that never comes into force at the head.
+func TestRefusedNoteIsReadSeldom(t *testing.T) {
+	w := New(Config{Host: "host-0-0", Zone: "zone-0", Wait: time.Second})
+	w.InForce(&release.State{Number: 1, Hosts: fleet(1, 1)})
+	reads := 0
+	for at := time.Duration(0); at < 10*time.Minute; at += step {
+		now := clock.Instant{Mono: at, Wall: at}
+		for _, c := range w.Advance(now) {
+			if c.Kind == KindNote {
+				reads++
+			}
+			w.Ended(now, &Result{Call: c, Head: 2})
+		}
+	}
+	if reads < 2 || reads > 20 {
+		t.Errorf("%d reads of the refused note in ten minutes", reads)
+	}
+}
+
+// TestNoSpin checks that after Advance the next wake is later than now, whatever the
+// order in which calls end and events come.
+func TestNoSpin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := New(Config{Host: "host-0-1", Zone: "zone-0", Wait: time.Second, Seed: 1})
+		at := time.Duration(0)
+		var open []Call
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now := clock.Instant{Mono: at, Wall: time.Hour + at}
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				w.InForce(&release.State{Number: w.inForce + 1, Hosts: fleet(1, 3)})
+			case 1:
+				w.PeerHeard(now, rapid.Uint64Range(0, 9).Draw(t, "peer"))
+			case 2:
+				w.Ask()
+			default:
+				if len(open) > 0 {
+					r := Result{Call: open[0], Failed: rapid.Bool().Draw(t, "failed"), Head: rapid.Uint64().Draw(t, "head"), Baseline: rapid.Uint64().Draw(t, "baseline")}
+					open = open[1:]
+					w.Ended(now, &r)
+				}
+			}
+			open = append(open, w.Advance(now)...)
+			if len(open) > 2 {
+				t.Fatalf("%d calls in progress: %v", len(open), open)
+			}
+			if wake := w.NextWake(now); wake <= now.Mono {
+				t.Fatalf("at %s the next wake is %s, calls in progress %v", now.Mono, wake, open)
+			}
+			at += time.Duration(rapid.Int64Range(0, int64(5*time.Second)).Draw(t, "gap"))
+		}
+	})
+}
--- a/internal/edge/platform/reader.go
+++ b/internal/edge/platform/reader.go
@@ -1,4 +1,5 @@
-// Package platform reads release notes from the platform's configuration service.
+// Package platform calls the platform's configuration service, which can only be read
+// and watched. When to call is decided by package watch.
 package platform
 
 import (
@@ -11,116 +12,196 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"pollentack.example/pollentack/internal/core/control"
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/core/watch"
+	"pollentack.example/pollentack/internal/duty"
+	"pollentack.example/pollentack/internal/edge/wallclock"
 	"pollentack.example/pollentack/internal/inifile"
 	"pollentack.example/pollentack/internal/note"
 	"pollentack.example/pollentack/internal/platformapi"
+	"pollentack.example/pollentack/internal/ring"
 )
 
 const (
 	callTimeout = 2 * time.Second
-	// retryPause is the wait after a failed call.
-	retryPause = 500 * time.Millisecond
+	// callCapacity is the size of each ring of calls: the core has one watch and one
+	// short call in progress at most.
+	callCapacity = 1
+	// maxReplyBytes bounds what is read of a reply: a note has a megabyte at most.
+	maxReplyBytes = note.MaxBytes + 1
 )
 
-// Reader is the duty that watches the head and reads each note after the last.
+// Reader makes the calls that the control core asks for. It is two duties: a watch that
+// waits must not hold up a short call.
 type Reader struct {
 	base   string
-	poll   time.Duration
+	clock  wallclock.Clock
 	client *client.Client
+	dialer *dialer
 	emit   func(control.Event) bool
-	stop   chan struct{}
-	calls  atomic.Uint64
+	waits  *ring.Ring[watch.Call]
+	calls  *ring.Ring[watch.Call]
+	made   atomic.Uint64
+	failed atomic.Uint64
 }
 
-// NewReader returns a reader that hands each note to emit, which reports whether it
-// was taken; one that was not is read again.
-func NewReader(address string, poll time.Duration, emit func(control.Event) bool) (*Reader, error) {
-	c, err := client.NewClient(client.WithDialer(standard.NewDialer()), client.WithDialTimeout(callTimeout))
+// NewReader returns a reader that hands the end of each call to emit.
+func NewReader(address string, clk wallclock.Clock, emit func(control.Event) bool) (*Reader, error) {
+	d := newDialer()
+	c, err := client.NewClient(
+		client.WithDialer(d),
+		client.WithDialTimeout(callTimeout),
+		config.ClientOption{F: func(o *config.ClientOptions) { o.MaxResponseBodySize = maxReplyBytes }},
+	)
 	if err != nil {
 		return nil, fmt.Errorf("platform client: %w", err)
 	}
-	return &Reader{base: "http://" + address, poll: poll, client: c, emit: emit, stop: make(chan struct{})}, nil
+	return &Reader{
+		base:   "http://" + address,
+		clock:  clk,
+		client: c,
+		dialer: d,
+		emit:   emit,
+		waits:  ring.New[watch.Call]("platform watch", callCapacity),
+		calls:  ring.New[watch.Call]("platform call", callCapacity),
+	}, nil
 }
 
-// Calls returns the number of calls made.
-func (r *Reader) Calls() uint64 { return r.calls.Load() }
+// Calls returns the number of calls made, and Failed how many of them failed.
+func (r *Reader) Calls() uint64 { return r.made.Load() }
 
-// Stop makes Run return after the call in progress.
-func (r *Reader) Stop() { close(r.stop) }
+// Failed returns the number of calls that failed.
+func (r *Reader) Failed() uint64 { return r.failed.Load() }
 
-// Run watches until Stop.
-func (r *Reader) Run() {
-	var last uint64
-	for !r.stopped(0) {
-		head, err := r.head(last)
-		if err != nil {
-			r.stopped(retryPause)
-			continue
-		}
-		if head.Baseline > last {
-			last = head.Baseline - 1
+// Rings returns the counters of the rings of calls.
+func (r *Reader) Rings() []ring.Stats { return []ring.Stats{r.waits.Stats(), r.calls.Stats()} }
+
+// Duties returns the duties that make the calls.
+func (r *Reader) Duties() []duty.Duty {
+	return []duty.Duty{
+		{Name: "platform call", Run: func() { r.run(r.calls) }, Stop: func() { r.stop(r.calls) }},
+		{Name: "platform watch", Run: func() { r.run(r.waits) }, Stop: func() { r.stop(r.waits) }},
+	}
+}
+
+// stop ends the call in progress by closing its connection.
+func (r *Reader) stop(calls *ring.Ring[watch.Call]) {
+	calls.Close()
+	r.dialer.closeAll()
+}
+
+// Put makes a call. It reports false after a stop.
+func (r *Reader) Put(c watch.Call) bool {
+	if c.Kind == watch.KindWait {
+		return r.waits.Put(c)
+	}
+	return r.calls.Put(c)
+}
+
+func (r *Reader) run(calls *ring.Ring[watch.Call]) {
+	batch := make([]watch.Call, callCapacity)
+	for {
+		n, ok := calls.Take(batch, ring.Forever)
+		if !ok {
+			return
 		}
-		for number := last + 1; number <= head.Number; number++ {
-			if !r.read(number) {
-				r.stopped(retryPause)
-				break
-			}
-			last = number
+		for _, c := range batch[:n] {
+			r.emit(r.do(c))
 		}
 	}
-	r.client.CloseIdleConnections()
 }
 
-// stopped waits and reports whether the reader has been stopped.
-func (r *Reader) stopped(wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-r.stop:
-		return true
-	case <-timer.C:
-		return false
+func (r *Reader) do(c watch.Call) *control.CallEnded {
+	ended := &control.CallEnded{Result: watch.Result{Call: c}, Began: r.clock.Now().Mono}
+	r.made.Add(1)
+	var err error
+	switch c.Kind {
+	case watch.KindHead, watch.KindWait:
+		err = r.head(c, &ended.Result)
+	case watch.KindNote:
+		ended.Note, err = r.note(c.Number)
+	case watch.KindHosts:
+		ended.Hosts, err = r.hosts()
+	}
+	if err != nil {
+		r.failed.Add(1)
+		ended.Result.Failed = true
 	}
+	return ended
 }
 
-func (r *Reader) head(last uint64) (platformapi.Head, error) {
-	var head platformapi.Head
-	url := fmt.Sprintf("%s%s?after=%d&wait=%d", r.base, platformapi.PathHead, last, r.poll.Milliseconds())
-	body, err := r.get(url, r.poll+callTimeout)
-	if err != nil {
-		return head, err
+func (r *Reader) head(c watch.Call, result *watch.Result) error {
+	url := r.base + platformapi.PathHead
+	if c.Kind == watch.KindWait {
+		url += fmt.Sprintf("?after=%d&wait=%d", c.After, c.Wait.Milliseconds())
 	}
-	if err := json.Unmarshal(body, &head); err != nil {
-		return head, fmt.Errorf("decode head: %w", err)
+	var head platformapi.Head
+	if err := r.getJSON(url, c.Wait+callTimeout, &head); err != nil {
+		return err
 	}
-	return head, nil
+	result.Head = head.Number
+	result.Baseline = head.Baseline
+	return nil
 }
 
-var errNotFound = errors.New("not found")
-
-func (r *Reader) read(number uint64) bool {
+// note returns nil without an error where there is no note of this number.
+func (r *Reader) note(number uint64) (*control.NoteRead, error) {
 	body, err := r.get(fmt.Sprintf("%s%s/%d", r.base, platformapi.PathNote, number), callTimeout)
-	if errors.Is(err, errNotFound) {
-		return true
+	switch {
+	case errors.Is(err, errNotFound):
+		return nil, nil
+	case errors.Is(err, hertzerrors.ErrBodyTooLarge):
+		reason := fmt.Sprintf("note has more than %d bytes", note.MaxBytes)
+		return &control.NoteRead{Number: number, Note: &release.Note{}, Faults: []release.Fault{{Reason: reason}}}, nil
 	}
 	if err != nil {
-		return false
+		return nil, err
 	}
-	parsed, err := note.Parse(fmt.Sprintf("note %d", number), body)
-	ev := &control.NoteRead{Number: number, Note: parsed}
+	return Decode(number, body), nil
+}
+
+// Decode reads the text of a note that is published, or handed on by a peer, under number.
+func Decode(number uint64, text []byte) *control.NoteRead {
+	parsed, err := note.Parse(fmt.Sprintf("note %d", number), text)
+	read := &control.NoteRead{Number: number, Note: parsed}
 	var faults inifile.Faults
 	if errors.As(err, &faults) {
-		ev.Faults = note.CoreFaults(faults)
+		read.Faults = note.CoreFaults(faults)
+	}
+	return read
+}
+
+func (r *Reader) hosts() ([]control.HostEntry, error) {
+	var entries []platformapi.HostEntry
+	if err := r.getJSON(r.base+platformapi.PathHosts, callTimeout, &entries); err != nil {
+		return nil, err
+	}
+	hosts := make([]control.HostEntry, len(entries))
+	for i, e := range entries {
+		hosts[i] = control.HostEntry{Name: e.Name, Leaving: e.Leaving}
 	}
-	return r.emit(ev)
+	return hosts, nil
 }
 
+func (r *Reader) getJSON(url string, timeout time.Duration, value any) error {
+	body, err := r.get(url, timeout)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, value); err != nil {
+		return fmt.Errorf("decode %s: %w", url, err)
+	}
+	return nil
+}
+
+var errNotFound = errors.New("not found")
+
 func (r *Reader) get(url string, timeout time.Duration) ([]byte, error) {
-	r.calls.Add(1)
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
--- /dev/null
+++ b/internal/edge/platform/reader_test.go
@@ -0,0 +1,120 @@
+package platform
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"pollentack.example/pollentack/internal/core/control"
+	"pollentack.example/pollentack/internal/core/watch"
+	"pollentack.example/pollentack/internal/duty"
+	"pollentack.example/pollentack/internal/edge/wallclock"
+	"pollentack.example/pollentack/internal/note"
+	"pollentack.example/pollentack/internal/platformapi"
+	"pollentack.example/pollentack/internal/standin"
+)
+
+type harness struct {
+	platform *standin.Platform
+	reader   *Reader
+	duties   *duty.Group
+	ended    chan *control.CallEnded
+}
+
+func newHarness(t *testing.T) *harness {
+	t.Helper()
+	h := &harness{ended: make(chan *control.CallEnded, 8)}
+	var err error
+	if h.platform, err = standin.StartPlatform("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.platform.Stop)
+	h.reader, err = NewReader(h.platform.Address(), wallclock.New(), func(ev control.Event) bool {
+		h.ended <- ev.(*control.CallEnded)
+		return true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if h.duties, err = duty.NewGroup(2, func(name string, err error) { t.Errorf("%s: %v", name, err) }); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range h.reader.Duties() {
+		if err := h.duties.Start(d); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Cleanup(h.duties.Stop)
+	return h
+}
+
+func (h *harness) call(t *testing.T, c watch.Call) *control.CallEnded {
+	t.Helper()
+	if !h.reader.Put(c) {
+		t.Fatalf("call %+v is not taken", c)
+	}
+	return <-h.ended
+}
+
+func (h *harness) awaitCalls(n uint64) {
+	for h.platform.Calls() < n {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestStopEndsAWaitingWatch stops the reader during a watch of a minute: the watch ends
+// as failed, where it would else end by its own time.
+func TestStopEndsAWaitingWatch(t *testing.T) {
+	h := newHarness(t)
+	h.reader.Put(watch.Call{Kind: watch.KindWait, Wait: time.Minute})
+	h.awaitCalls(1)
+	h.duties.Stop()
+	if ended := <-h.ended; !ended.Result.Failed {
+		t.Errorf("the watch ended by itself: %+v", ended.Result)
+	}
+}
+
+// TestShortCallPassesAWatch reads a note while a watch waits; publishing ends the watch.
+func TestShortCallPassesAWatch(t *testing.T) {
+	h := newHarness(t)
+	h.reader.Put(watch.Call{Kind: watch.KindWait, Wait: time.Minute})
+	h.awaitCalls(1)
+	if ended := h.call(t, watch.Call{Kind: watch.KindHead}); ended.Result.Failed || ended.Result.Head != 0 {
+		t.Errorf("head: %+v", ended.Result)
+	}
+	h.platform.Publish(7, true, []byte("[note]\nnumber = 7\nkind = baseline\n[end]\nitems = 0\n"))
+	if ended := <-h.ended; ended.Result.Call.Kind != watch.KindWait || ended.Result.Head != 7 || ended.Result.Baseline != 7 {
+		t.Errorf("watch: %+v", ended.Result)
+	}
+}
+
+func TestCallsReport(t *testing.T) {
+	h := newHarness(t)
+	h.platform.Publish(1, true, []byte("[note]\nnumber = 1\nkind = baseline\n[end]\nitems = 0\n"))
+	h.platform.Publish(2, false, []byte("[note]\nnumber = 2\nkind = change\nfollows = 1\n"))
+	h.platform.Publish(3, false, []byte(strings.Repeat("#", note.MaxBytes+2)))
+	h.platform.SetHosts([]platformapi.HostEntry{{Name: "host-1", Leaving: true}})
+
+	read := func(n uint64) *control.CallEnded {
+		return h.call(t, watch.Call{Kind: watch.KindNote, Number: n})
+	}
+	if ended := read(1); ended.Note == nil || len(ended.Note.Faults) > 0 || !ended.Note.Note.Baseline {
+		t.Errorf("note 1: %+v", ended.Note)
+	}
+	if ended := read(2); ended.Note == nil || len(ended.Note.Faults) != 1 || ended.Note.Number != 2 {
+		t.Errorf("a note that was cut: %+v", ended.Note)
+	}
+	if ended := read(3); ended.Note == nil || len(ended.Note.Faults) != 1 {
+		t.Errorf("a note over a megabyte: %+v", ended)
+	}
+	if ended := read(4); ended.Result.Failed || ended.Note != nil {
+		t.Errorf("a note that does not exist: %+v", ended)
+	}
+	if ended := h.call(t, watch.Call{Kind: watch.KindHosts}); len(ended.Hosts) != 1 || !ended.Hosts[0].Leaving {
+		t.Errorf("hosts: %+v", ended.Hosts)
+	}
+	h.platform.SetDown(true)
+	if ended := read(1); !ended.Result.Failed || h.reader.Failed() != 1 {
+		t.Errorf("a platform that is down: %+v, %d failed", ended.Result, h.reader.Failed())
+	}
+}
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -7,9 +7,11 @@
 
 	"pollentack.example/pollentack/internal/core/control"
 	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/watch"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/wallclock"
 	"pollentack.example/pollentack/internal/ring"
+	"pollentack.example/pollentack/internal/settings"
 )
 
 const (
@@ -19,24 +21,32 @@
 
 // controller is the duty that owns the control core.
 type controller struct {
-	clock   wallclock.Clock
-	log     zerolog.Logger
-	core    *control.Control
-	inbox   *ring.Ring[control.Event]
-	queries func(engine.Event) bool
-	status  atomic.Pointer[controlStatus]
+	clock    wallclock.Clock
+	log      zerolog.Logger
+	core     *control.Control
+	inbox    *ring.Ring[control.Event]
+	queries  func(engine.Event) bool
+	platform func(watch.Call) bool
+	status   atomic.Pointer[controlStatus]
 }
 
 type controlStatus struct {
 	Note     uint64              `json:"note"`
 	Rejected []control.Rejection `json:"rejected,omitempty"`
+	Waiting  []uint64            `json:"waiting,omitempty"`
 }
 
-func newController(clk wallclock.Clock, log zerolog.Logger, queries func(engine.Event) bool) *controller {
+func newController(s *settings.Settings, clk wallclock.Clock, log zerolog.Logger, queries func(engine.Event) bool) *controller {
 	c := &controller{
-		clock:   clk,
-		log:     log,
-		core:    control.New(),
+		clock: clk,
+		log:   log,
+		core: control.New(watch.Config{
+			Host: s.Host.Name,
+			Zone: s.Host.Zone,
+			Wait: s.Platform.Poll,
+			Seed: uint64(s.Policy.Seed),
+			Poll: s.Platform.Mode == settings.PlatformPoll,
+		}),
 		inbox:   ring.New[control.Event]("control", controlCapacity),
 		queries: queries,
 	}
@@ -54,7 +64,10 @@
 	batch := make([]control.Event, controlBatch)
 	var fx control.Effects
 	for {
-		n, ok := c.inbox.Take(batch, ring.Forever)
+		now := c.clock.Now()
+		c.core.Advance(now, &fx)
+		c.carryOut(&fx)
+		n, ok := c.inbox.Take(batch, max(0, c.core.NextWake(now)-now.Mono))
 		if !ok {
 			return
 		}
@@ -73,6 +86,13 @@
 	for _, r := range fx.Rejected {
 		c.log.Warn().Str("event", "note_rejected").Uint64("note", r.Number).Interface("faults", r.Faults).Send()
 	}
-	c.status.Store(&controlStatus{Note: c.core.Number(), Rejected: c.core.Rejected()})
+	if len(fx.Leaving) > 0 {
+		c.queries(&engine.HostList{Leaving: fx.Leaving})
+		c.log.Info().Str("event", "hosts_leaving").Strs("names", fx.Leaving).Send()
+	}
+	for _, call := range fx.Calls {
+		c.platform(call)
+	}
+	c.status.Store(&controlStatus{Note: c.core.Number(), Rejected: c.core.Rejected(), Waiting: c.core.Waiting()})
 	fx.Reset()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,7 +10,6 @@
 
 	"github.com/rs/zerolog"
 
-	"pollentack.example/pollentack/internal/core/control"
 	"pollentack.example/pollentack/internal/core/engine"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/admin"
@@ -97,17 +96,22 @@
 }
 
 func (n *Node) startControl() error {
-	n.control = newController(n.clock, n.log, func(ev engine.Event) bool { return n.queries.put(ev) })
-	if err := n.duties.Start(n.control.duty()); err != nil {
-		return err
-	}
-	p := n.settings.Platform
-	reader, err := platform.NewReader(p.Address, p.Poll, func(ev control.Event) bool { return n.control.put(ev) })
+	n.control = newController(n.settings, n.clock, n.log, func(ev engine.Event) bool { return n.queries.put(ev) })
+	reader, err := platform.NewReader(n.settings.Platform.Address, n.clock, n.control.put)
 	if err != nil {
 		return err
 	}
 	n.reader = reader
-	return n.duties.Start(duty.Duty{Name: "platform", Run: reader.Run, Stop: reader.Stop})
+	n.control.platform = reader.Put
+	if err := n.duties.Start(n.control.duty()); err != nil {
+		return err
+	}
+	for _, d := range reader.Duties() {
+		if err := n.duties.Start(d); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (n *Node) listen() error {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -8,15 +8,18 @@
 
 // Status is what a host says of itself to operators.
 type Status struct {
-	Host          string              `json:"host"`
-	Zone          string              `json:"availability_zone"`
-	Note          uint64              `json:"note"`
-	Rejected      []control.Rejection `json:"rejected,omitempty"`
-	InProgress    int                 `json:"in_progress"`
-	Draining      bool                `json:"draining"`
-	Counters      engine.Counters     `json:"counters"`
-	Rings         []ring.Stats        `json:"rings"`
-	PlatformCalls uint64              `json:"platform_calls"`
+	Host     string              `json:"host"`
+	Zone     string              `json:"availability_zone"`
+	Note     uint64              `json:"note"`
+	Rejected []control.Rejection `json:"rejected,omitempty"`
+	// Waiting are the notes that wait for their predecessor.
+	Waiting       []uint64        `json:"waiting,omitempty"`
+	InProgress    int             `json:"in_progress"`
+	Draining      bool            `json:"draining"`
+	Counters      engine.Counters `json:"counters"`
+	Rings         []ring.Stats    `json:"rings"`
+	PlatformCalls uint64          `json:"platform_calls"`
+	PlatformFails uint64          `json:"platform_fails"`
 }
 
 // Status returns the host's status at this moment.
@@ -31,7 +34,9 @@
 		InProgress:    q.InProgress,
 		Draining:      q.Draining,
 		Counters:      q.Counters,
-		Rings:         []ring.Stats{n.queries.inbox.Stats(), n.dispatch.inbox.Stats(), n.control.inbox.Stats()},
+		Waiting:       c.Waiting,
+		Rings:         append([]ring.Stats{n.queries.inbox.Stats(), n.dispatch.inbox.Stats(), n.control.inbox.Stats()}, n.reader.Rings()...),
 		PlatformCalls: n.reader.Calls(),
+		PlatformFails: n.reader.Failed(),
 	}
 }
--- a/internal/note/parse.go
+++ b/internal/note/parse.go
@@ -21,6 +21,9 @@
 // MaxBytes bounds a note: the platform holds values up to a megabyte.
 const MaxBytes = 1 << 20
 
+// MaxNumber bounds a note's number: JSON readers keep such numbers whole.
+const MaxNumber = 1 << 53
+
 var ops = map[string]release.Op{
 	"add":      release.Add,
 	"change":   release.Change,
@@ -58,8 +61,8 @@
 
 func readHead(n *release.Note, s *inifile.Section) {
 	n.Number = s.Uint("number")
-	if n.Number == 0 && s.Has("number") {
-		s.Fault("number", "is 0; allowed are 1 and above")
+	if s.Has("number") && (n.Number == 0 || n.Number > MaxNumber) {
+		s.Fault("number", "is %d; allowed are 1 to %d", n.Number, uint64(MaxNumber))
 	}
 	n.Baseline = s.Choice("kind", "change", "baseline", "change") == "baseline"
 	if !n.Baseline {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,8 +41,16 @@
 	Address string
 	// Poll is the longest wait of one watch call.
 	Poll time.Duration
+	// Mode is PlatformWatch, or PlatformPoll for the baseline of experiments.
+	Mode string
 }
 
+// Modes of reading the platform.
+const (
+	PlatformWatch = "watch"
+	PlatformPoll  = "poll"
+)
+
 // Limits bound what the host holds.
 type Limits struct {
 	Queries     int
@@ -151,6 +159,7 @@
 func (s *Settings) readPlatform(sec *inifile.Section) {
 	s.Platform.Address = sec.Address("address")
 	s.Platform.Poll = sec.Duration("poll", 10*time.Second, 100*time.Millisecond, time.Minute)
+	s.Platform.Mode = sec.Choice("mode", PlatformWatch, PlatformWatch, PlatformPoll)
 }
 
 func (s *Settings) readLimits(sec *inifile.Section) {
