--- a/internal/faultmatrix/world_test.go
+++ b/internal/faultmatrix/world_test.go
@@ -12,6 +12,7 @@
 	"pollentack.example/pollentack/internal/core/engine"
 	"pollentack.example/pollentack/internal/core/query"
 	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/core/watch"
 )
 
 // epoch is the wall-clock time at which every world begins.
@@ -157,7 +158,7 @@
 		Hedge:      true,
 		Once:       onceConfig(h),
 	})
-	h.control = control.New()
+	h.control = control.New(watch.Config{Host: hostName(h.index), Zone: zoneOf(h.index)})
 	life := h.life
 	h.w.after(platformDelay, func() { h.poll(life) })
 	h.w.after(tickPeriod, func() { h.tick(life) })
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -7,9 +7,12 @@
 
 	"pollentack.example/pollentack/internal/core/control"
 	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/membership"
+	"pollentack.example/pollentack/internal/core/watch"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/wallclock"
 	"pollentack.example/pollentack/internal/ring"
+	"pollentack.example/pollentack/internal/settings"
 )
 
 const (
@@ -19,26 +22,37 @@
 
 // controller is the duty that owns the control core.
 type controller struct {
-	clock   wallclock.Clock
-	log     zerolog.Logger
-	core    *control.Control
-	inbox   *ring.Ring[control.Event]
-	queries func(engine.Event) bool
+	clock    wallclock.Clock
+	log      zerolog.Logger
+	core     *control.Control
+	inbox    *ring.Ring[control.Event]
+	queries  func(engine.Event) bool
+	platform func(watch.Call) bool
 	// peers takes what peers may fetch whenever it changes.
-	peers  func(*control.Shared)
-	status atomic.Pointer[controlStatus]
+	peers func(*control.Shared)
+	// members takes what the platform's answers say of this host's contact.
+	members  func(membership.Event) bool
+	watching bool
+	status   atomic.Pointer[controlStatus]
 }
 
 type controlStatus struct {
 	Note     uint64              `json:"note"`
 	Rejected []control.Rejection `json:"rejected,omitempty"`
+	Waiting  []uint64            `json:"waiting,omitempty"`
 }
 
-func newController(clk wallclock.Clock, log zerolog.Logger, queries func(engine.Event) bool) *controller {
+func newController(s *settings.Settings, clk wallclock.Clock, log zerolog.Logger, queries func(engine.Event) bool) *controller {
 	c := &controller{
-		clock:   clk,
-		log:     log,
-		core:    control.New(),
+		clock: clk,
+		log:   log,
+		core: control.New(watch.Config{
+			Host: s.Host.Name,
+			Zone: s.Host.Zone,
+			Wait: s.Platform.Poll,
+			Seed: uint64(s.Policy.Seed),
+			Poll: s.Platform.Mode == settings.PlatformPoll,
+		}),
 		inbox:   ring.New[control.Event]("control", controlCapacity),
 		queries: queries,
 		peers:   func(*control.Shared) {},
@@ -57,7 +71,10 @@
 	batch := make([]control.Event, controlBatch)
 	var fx control.Effects
 	for {
-		n, ok := c.inbox.Take(batch, ring.Forever)
+		now := c.clock.Now()
+		c.core.Advance(now, &fx)
+		c.carryOut(&fx)
+		n, ok := c.inbox.Take(batch, max(0, c.core.NextWake(now)-now.Mono))
 		if !ok {
 			return
 		}
@@ -68,6 +85,17 @@
 	}
 }
 
+// tellWatching tells the peers' duty when this host begins or ceases to watch the
+// platform with success.
+func (c *controller) tellWatching() {
+	watching := c.core.Watching(c.clock.Now())
+	if watching == c.watching {
+		return
+	}
+	c.watching = watching
+	c.members(&membership.Watching{Watching: watching})
+}
+
 func (c *controller) carryOut(fx *control.Effects) {
 	if fx.InForce != nil {
 		c.queries(&engine.Release{State: fx.InForce})
@@ -77,6 +105,17 @@
 	for _, r := range fx.Rejected {
 		c.log.Warn().Str("event", "note_rejected").Uint64("note", r.Number).Interface("faults", r.Faults).Send()
 	}
-	c.status.Store(&controlStatus{Note: c.core.Number(), Rejected: c.core.Rejected()})
+	if len(fx.Leaving) > 0 {
+		c.queries(&engine.HostList{Leaving: fx.Leaving})
+		c.log.Info().Str("event", "hosts_leaving").Strs("names", fx.Leaving).Send()
+	}
+	if fx.Reached > 0 {
+		c.members(&membership.PlatformWord{Began: fx.Reached})
+	}
+	for _, call := range fx.Calls {
+		c.platform(call)
+	}
+	c.tellWatching()
+	c.status.Store(&controlStatus{Note: c.core.Number(), Rejected: c.core.Rejected(), Waiting: c.core.Waiting()})
 	fx.Reset()
 }
--- a/internal/node/meshing.go
+++ b/internal/node/meshing.go
@@ -161,6 +161,12 @@
 	if fx.Word != nil {
 		m.queries(&engine.Word{Since: fx.Word.Since})
 	}
+	if fx.PeerHeard != nil {
+		m.control(&control.PeerHeard{Number: *fx.PeerHeard})
+	}
+	if fx.AskPlatform {
+		m.control(&control.AskPlatform{})
+	}
 	if fx.Isolation != nil {
 		m.queries(fx.Isolation)
 		(*m.isolated.Load())(fx.Isolation.Isolated)
