--- a/internal/core/engine/effect.go
+++ b/internal/core/engine/effect.go
@@ -18,6 +18,21 @@
 	Request  *query.Request
 	// Deadline is on the monotonic clock; the target is told what is left of it.
 	Deadline time.Duration
+	Guard
+}
+
+// Guard bounds a request at its target.
+type Guard struct {
+	// NotAfter is the wall-clock time after which a cold target must refuse the request,
+	// 0 for a warm one.
+	NotAfter time.Duration
+	// Incarnation is the target's incarnation as the host knows it, 0 for unknown.
+	Incarnation uint64
+	// Check asks to compare it with the health endpoint's before the request goes out on
+	// a new connection.
+	Check bool
+	// Quota is this host's share of the target's connections.
+	Quota int
 }
 
 // Cancel asks a target to give up an attempt that has lost.
@@ -49,6 +64,9 @@
 	// Facts and Convictions are new first-hand knowledge for the peers.
 	Facts       []TargetFact
 	Convictions []Conviction
+	// WordWanted is the instant of a late wake, after which a word from the platform or
+	// a peer is wanted; 0 for none.
+	WordWanted time.Duration
 	OnceEffects
 }
 
@@ -64,5 +82,6 @@
 	fx.Answers = fx.Answers[:0]
 	fx.Facts = fx.Facts[:0]
 	fx.Convictions = fx.Convictions[:0]
+	fx.WordWanted = 0
 	fx.resetOnce()
 }
--- a/internal/edge/targetclient/run.go
+++ b/internal/edge/targetclient/run.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 
+	errs "github.com/cloudwego/hertz/pkg/common/errors"
 	"go.opentelemetry.io/otel/attribute"
 
 	"pollentack.example/pollentack/internal/core/engine"
@@ -22,15 +24,26 @@
 func (c *Client) Run(s *engine.RunSend) *engine.RunReply {
 	begin := c.clock.Now().Mono
 	left := s.Deadline - begin
-	reply := &engine.RunReply{Run: s.Run, Try: s.Try, Target: s.Target, Outcome: engine.Unreachable}
+	dials := c.conns.acquire(s.Spec.Address, s.Quota)
+	defer c.conns.release(s.Spec.Address)
+	reply := &engine.RunReply{Run: s.Run, Try: s.Try, Target: s.Target, Outcome: engine.Unsent}
 	if left <= 0 {
 		return reply
 	}
+	if needsCheck(&s.Guard, dials) {
+		if held := c.checkIncarnation(s.Spec.Address, &s.Guard, left); held.outcome != 0 {
+			reply.Outcome = held.outcome
+			reply.ClaimedIncarnation = held.claimed
+			reply.Disconnected = held.disconnected
+			return reply
+		}
+	}
 	body, err := json.Marshal(&targetapi.RunRequest{
 		ID:             targetapi.RequestID(s.Ticket),
 		Service:        s.Service,
 		Body:           string(s.Body),
 		DeadlineMicros: left.Microseconds(),
+		NotAfterMicros: s.NotAfter.Microseconds(),
 	})
 	if err != nil {
 		return reply
@@ -38,10 +51,11 @@
 	span := c.tracer.Start(s.TraceParent, "run", attribute.String("target", s.Spec.Name), attribute.Int("try", int(s.Try)))
 	call := call{address: s.Spec.Address, path: targetapi.PathRun, body: body, timeout: left + replyGrace, traceParent: span.Context()}
 	var answer targetapi.RunReply
-	err = c.post(&call, &answer)
+	err = c.do(&call, &answer)
 	reply.Elapsed = c.clock.Now().Mono - begin
 	if err != nil {
 		reply.Outcome = outcomeOfError(err)
+		reply.Disconnected = !errors.Is(err, errs.ErrTimeout)
 	} else {
 		fillRun(reply, &answer)
 	}
--- a/internal/node/queries.go
+++ b/internal/node/queries.go
@@ -17,6 +17,8 @@
 	stepBatch = 256
 	// controlReserve is the room for events that are neither queries nor replies.
 	controlReserve = 1024
+	// maxStepGap is the time between steps above which the host woke late.
+	maxStepGap = 500 * time.Millisecond
 )
 
 // work is one element of the dispatch ring; one field is set.
@@ -38,7 +40,7 @@
 	case w.handover != nil:
 		return &engine.HandoverDone{Number: w.handover.Chunk.Number, NeverSent: true}
 	}
-	return &engine.Reply{Attempt: w.send.Attempt, Target: w.send.Target, Outcome: engine.Unreachable}
+	return &engine.Reply{Attempt: w.send.Attempt, Target: w.send.Target, Outcome: engine.Unsent}
 }
 
 // queries is the duty that owns the engine.
@@ -49,23 +51,32 @@
 	reserve int
 
 	dispatch func(work) bool
-	deliver  atomic.Pointer[func(*engine.Answer)]
+	// connections returns the number of open connections to an address.
+	connections func(address string) int
+	deliver     atomic.Pointer[func(*engine.Answer)]
 
 	deliverOnce func(uint64, engine.OnceAnswer)
 	// unsent are replies for work that the dispatch ring refused.
-	unsent  []engine.Event
-	counted atomic.Pointer[engineStatus]
+	unsent []engine.Event
+	// targets is what status last said of the targets, at the time targetsAt.
+	targets   []TargetStatus
+	targetsAt time.Duration
+	counted   atomic.Pointer[engineStatus]
 	// changed holds at most one token, put after each change of counted.
 	changed chan struct{}
+	// tell takes effects that concern the peers.
+	tell func(*engine.Effects)
 }
 
 // engineStatus is what the duty last published of its engine.
 type engineStatus struct {
-	Counters   engine.Counters `json:"counters"`
-	InProgress int             `json:"in_progress"`
-	Draining   bool            `json:"draining"`
-	Tickets    int             `json:"tickets"`
-	HandedOver bool            `json:"handed_over"`
+	Counters   engine.Counters          `json:"counters"`
+	InProgress int                      `json:"in_progress"`
+	Draining   bool                     `json:"draining"`
+	Admission  engine.AdmissionCounters `json:"admission"`
+	Targets    []TargetStatus           `json:"targets"`
+	Tickets    int                      `json:"tickets"`
+	HandedOver bool                     `json:"handed_over"`
 }
 
 func newQueries(s *settings.Settings, clk wallclock.Clock, tickets *once.Config) *queries {
@@ -81,9 +92,14 @@
 			Seed:       uint64(s.Policy.Seed),
 			MaxQueries: s.Limits.Queries,
 			Hedge:      s.Policy.Hedge,
+			Queue:      s.Limits.Queue,
+			Targets:    targetOptions(s),
+			MaxGap:     maxStepGap,
 			Once:       *tickets,
 		}),
 	}
+	q.connections = func(string) int { return 0 }
+	q.tell = func(*engine.Effects) {}
 	q.setDeliver(func(*engine.Answer) {})
 	q.counted.Store(&engineStatus{})
 	return q
@@ -133,6 +149,7 @@
 func (q *queries) carryOut(fx *engine.Effects) {
 	deliver := *q.deliver.Load()
 	for {
+		q.tell(fx)
 		for i := range fx.Answers {
 			deliver(&fx.Answers[i])
 		}
@@ -192,6 +209,8 @@
 		Counters:   q.engine.Counters(),
 		InProgress: q.engine.InProgress(),
 		Draining:   q.engine.Draining(),
+		Admission:  q.engine.Admission(),
+		Targets:    q.targetStatuses(),
 		Tickets:    q.engine.Tickets().Len(),
 		HandedOver: q.engine.HandedOver(),
 	})
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/membership"
 )
 
 // Stop is the graceful shutdown. In this order: the balancer's check fails; the host
@@ -28,6 +29,9 @@
 	if n.duties != nil {
 		n.duties.Stop()
 	}
+	if n.members != nil {
+		n.members.close()
+	}
 	n.log.Info().Str("event", "host_stopped").Dur("took", time.Since(began)).Send()
 }
 
@@ -35,6 +39,7 @@
 	limit := time.NewTimer(n.settings.Stop.Limit)
 	defer limit.Stop()
 	n.front.FailHealth()
+	n.members.put(&membership.Drain{})
 	n.waitForBalancer(limit.C)
 	n.queries.put(&engine.Drain{})
 	n.queries.put(&engine.HandOver{})
@@ -94,5 +99,6 @@
 		n.front.Stop()
 		n.admin.Stop()
 		n.duties.Stop()
+		n.members.close()
 	})
 }
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -72,23 +72,28 @@
 		c.JSON(http.StatusBadRequest, targetapi.RunReply{Status: targetapi.StatusNotRun})
 		return
 	}
+	if expired(req.NotAfterMicros) {
+		c.JSON(http.StatusServiceUnavailable, t.runReply(targetapi.StatusCold, ""))
+		return
+	}
 	ref := targetapi.AttemptRef{Host: req.ID.Home, Query: req.ID.Serial, Shard: runShard}
 	if t.draw() < t.runFaults().DeclineShare {
 		c.JSON(http.StatusServiceUnavailable, t.runReply(targetapi.StatusNotRun, ""))
 		return
 	}
-	work, _, ok := t.begin(ref)
+	j, ok := t.begin(ref)
 	if !ok {
 		c.JSON(http.StatusServiceUnavailable, t.runReply(targetapi.StatusShed, ""))
 		return
 	}
-	defer t.end(ref)
+	defer t.end(ref, &j)
 	n := t.execution(&req)
-	time.Sleep(work)
+	time.Sleep(j.work)
 	if t.draw() < t.runFaults().LostShare {
 		_ = c.GetConn().Close()
 		return
 	}
+	j.answered = true
 	c.JSON(http.StatusOK, t.runReply(targetapi.StatusOK, fmt.Sprintf("%s ran %q as execution %d", t.Name, req.Body, n)))
 }
 
--- a/internal/targetapi/run.go
+++ b/internal/targetapi/run.go
@@ -19,6 +19,8 @@
 	Service        string    `json:"service"`
 	Body           string    `json:"body"`
 	DeadlineMicros int64     `json:"deadline_us"`
+	// NotAfterMicros is as in SearchRequest.
+	NotAfterMicros int64 `json:"not_after_us,omitempty"`
 }
 
 // RunReply is a target's answer. Any status but ok, shed, cold and not_run leaves open
