--- a/internal/core/engine/onceevent.go
+++ b/internal/core/engine/onceevent.go
@@ -46,8 +46,11 @@
 	Incarnation uint64
 	Cold        bool
 	Leaving     bool
-	Output      []byte
-	Elapsed     time.Duration
+	// ClaimedIncarnation and Disconnected are as in Reply.
+	ClaimedIncarnation uint64
+	Disconnected       bool
+	Output             []byte
+	Elapsed            time.Duration
 }
 
 // Forwarded is the end of a Forward. Answer is nil where the peer gave none; the
@@ -95,6 +98,7 @@
 	Body        []byte
 	Deadline    time.Duration
 	TraceParent string
+	Guard
 }
 
 // Forward asks a peer for the answer to a request whose ticket it may hold.
--- a/internal/core/engine/pause.go
+++ b/internal/core/engine/pause.go
@@ -7,8 +7,12 @@
 	"pollentack.example/pollentack/internal/core/result"
 )
 
-// heldLimit is how long a new query waits for a word after a late wake.
-const heldLimit = 250 * time.Millisecond
+const (
+	// heldLimit is how long a new query waits for a word after a late wake.
+	heldLimit = 250 * time.Millisecond
+	// wordPause is the time between looks at work in progress that may not be sent on.
+	wordPause = 20 * time.Millisecond
+)
 
 // Word tells that the platform or a peer was reached at or after Since.
 type Word struct{ Since time.Duration }
@@ -16,13 +20,16 @@
 func (*Word) event() {}
 
 // pause notices that the host woke late, acting on an old view: expired work ends first,
-// and new queries are held until the platform or a peer was reached since the wake.
+// new requests are held, and nothing is sent to a target until the platform or a peer
+// was reached since the wake.
 type pause struct {
 	started bool
 	stepped time.Duration
 	woken   time.Duration
 	waiting bool
 	held    []heldEvent
+	// skipped is the sum of all late gaps, for which callers gain no tokens.
+	skipped time.Duration
 }
 
 // heldEvent is a Submit or an OnceSubmit that waits.
@@ -34,15 +41,20 @@
 // noticeGap compares the time since the last step with the bound of the configuration.
 func (e *Engine) noticeGap(now clock.Instant, fx *Effects) {
 	p := &e.pause
-	late := p.started && e.cfg.MaxGap > 0 && now.Mono-p.stepped > e.cfg.MaxGap
+	gap := now.Mono - p.stepped
+	late := p.started && e.cfg.MaxGap > 0 && gap > e.cfg.MaxGap
 	p.started, p.stepped = true, now.Mono
 	if late {
+		p.skipped += gap
 		p.waiting, p.woken = true, now.Mono
 		e.counters.LateWakes++
 		fx.WordWanted = now.Mono
 	}
 }
 
+// credited returns the monotonic time without the late gaps.
+func (p *pause) credited(now clock.Instant) time.Duration { return now.Mono - p.skipped }
+
 // hold keeps new work back while a word is awaited, and reports whether it did. The
 // wait also ends where the caller of held work is gone.
 func (e *Engine) hold(now clock.Instant, ev Event, fx *Effects) bool {
--- a/internal/node/meshing.go
+++ b/internal/node/meshing.go
@@ -212,3 +212,11 @@
 	s := m.mesh.Stats()
 	return &s
 }
+
+// peers returns what carries calls to other hosts.
+func (m *members) peers() Peers {
+	if m.mesh == nil {
+		return noPeers{}
+	}
+	return m.mesh
+}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -22,6 +22,9 @@
 	Peers         []membership.PeerStatus `json:"peers,omitempty"`
 	Mesh          *mesh.Stats             `json:"mesh,omitempty"`
 	PlatformCalls uint64                  `json:"platform_calls"`
+
+	Admission engine.AdmissionCounters `json:"admission"`
+	Targets   []TargetStatus           `json:"targets,omitempty"`
 }
 
 // Status returns the host's status at this moment.
@@ -42,5 +45,7 @@
 		Peers:         members.Peers,
 		Mesh:          n.members.meshStats(),
 		PlatformCalls: n.reader.Calls(),
+		Admission:     q.Admission,
+		Targets:       q.Targets,
 	}
 }
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -170,6 +171,7 @@
 	s.Platform.Address = t.entrances[i].Address()
 	s.Platform.Poll = time.Second
 	s.Policy.Seed = int(t.Layout.Seed) + i
+	s.Stop.BalancerLag = 0
 	if t.options.Adjust != nil {
 		t.options.Adjust(i, s)
 	}
@@ -208,6 +210,18 @@
 	return nil
 }
 
+// ZoneOf returns the published availability zone of a target.
+func (t *Testbed) ZoneOf(target string) string {
+	for i := range t.Layout.Services {
+		for shard, names := range t.Layout.Services[i].targetNames() {
+			if replica := slices.Index(names, target); replica >= 0 {
+				return t.Layout.Zones[(shard+replica)%len(t.Layout.Zones)].Name
+			}
+		}
+	}
+	return ""
+}
+
 // Fronts returns the hosts' addresses for callers.
 func (t *Testbed) Fronts() []string {
 	fronts := make([]string, len(t.Nodes))
