Describe the mesh; keep room for what heartbeats cannot repeat

A full membership ring would have lost the news of a note in force, which nobody repeats. Heartbeats now leave 1024 places free. docs/design/mesh.md has the ways weighed, docs/operations/mesh.md what operators see and do.

--- a/internal/node/meshing.go
+++ b/internal/node/meshing.go
@@ -23,6 +23,8 @@
 const (
 	membershipCapacity = 4096
 	membershipBatch    = 64
+	// heartbeatReserve is the room for events that are not heartbeats.
+	heartbeatReserve = 1024
 	// fetchWorkers is one fetch in progress and one that ends late.
 	fetchWorkers = 2
 )
@@ -99,9 +101,13 @@
 	return membership.Incarnation{Started: uint64(clk.Now().Wall), Nonce: binary.BigEndian.Uint64(nonce[:])}, nil
 }
 
-// put puts an event. A full ring loses it: heartbeats and words repeat, and the mesh
-// gives a link's end at the latest with its silence.
-func (m *members) put(ev membership.Event) bool { return m.inbox.Put(ev) }
+// put puts an event. A full ring drops heartbeats only: what one told is told again.
+func (m *members) put(ev membership.Event) bool {
+	if _, ok := ev.(*membership.Heard); ok {
+		return m.inbox.PutReserving(ev, heartbeatReserve)
+	}
+	return m.inbox.Put(ev)
+}
 
 // inForce hands on the state in force and what peers may fetch.
 func (m *members) inForce(shared *control.Shared) {
