Prove that a late wake sends nothing and credits nothing

With the guard of attempts taken out, TestLateWakeSendsNothingForWorkInProgress fails: an attempt declined during the pause went to the other replica at once. With the buckets on the plain clock, TestLateWakeCreditsNoTokens fails. Both pass with the code as it is. go test -run LateWake ./internal/core/engine

--- a/internal/core/engine/pause_test.go
+++ b/internal/core/engine/pause_test.go
@@ -22,17 +22,20 @@
 }
 
 func newPauseBench(t *testing.T) *pauseBench {
-	snap := &release.Snapshot{Service: "board", Version: 1, Layout: "a", Weight: 1, Shards: []release.Shard{{Weight: 1, Replicas: []string{"t-1"}}}}
+	snap := &release.Snapshot{Service: "board", Version: 1, Layout: "a", Weight: 1, Shards: []release.Shard{{Weight: 1, Replicas: []string{"t-1", "t-2"}}}}
 	state := &release.State{
 		Number: 1,
 		Zones:  map[string]*release.Zone{"z": {Name: "z"}},
 		Hosts:  []release.Host{{Name: "host-1", Zone: "z"}},
 		Services: map[string]*release.Service{"board": {
 			Name: "board", Snapshots: []*release.Snapshot{snap},
-			Policy: release.Policy{Deadline: 500 * time.Millisecond, Criticality: release.Standard},
+			Policy: release.Policy{Deadline: 5 * time.Second, Criticality: release.Standard},
 		}},
 		Callers: map[string]*release.Caller{"c": {Name: "c", KeyHash: sha256.Sum256([]byte("k")), Services: map[string]bool{"board": true}, Rate: 1000}},
-		Targets: map[string]*release.Target{"t-1": {Name: "t-1", Zone: "z", Service: "board", Slots: 8, Connections: 90, ColdBudget: 8}},
+		Targets: map[string]*release.Target{
+			"t-1": {Name: "t-1", Zone: "z", Service: "board", Slots: 8, Connections: 90, ColdBudget: 8},
+			"t-2": {Name: "t-2", Zone: "z", Service: "board", Slots: 8, Connections: 90, ColdBudget: 8},
+		},
 	}
 	b := &pauseBench{t: t, now: clock.Instant{Mono: time.Second, Wall: time.Hour}}
 	b.engine = New(Config{Host: "host-1", Zone: "z", Seed: 1, MaxQueries: 10, MaxGap: 500 * time.Millisecond})
@@ -90,7 +93,7 @@
 func TestLateWakeEndsExpiredWorkFirst(t *testing.T) {
 	b := newPauseBench(t)
 	b.submit(1)
-	b.now = b.now.Add(2 * time.Second)
+	b.now = b.now.Add(20 * time.Second)
 	b.submit(2)
 	if len(b.fx.Answers) != 1 || b.fx.Answers[0].Key != 1 || len(b.fx.Sends) != 0 {
 		t.Fatalf("answers %+v, %d sends", b.fx.Answers, len(b.fx.Sends))
@@ -127,3 +130,45 @@
 		t.Errorf("%d sends after the isolation", len(b.fx.Sends))
 	}
 }
+
+// TestLateWakeSendsNothingForWorkInProgress checks that an attempt that was declined
+// during the pause goes to no other target before the word.
+func TestLateWakeSendsNothingForWorkInProgress(t *testing.T) {
+	b := newPauseBench(t)
+	b.submit(1)
+	sent := b.fx.Sends[0]
+	b.now = b.now.Add(2 * time.Second)
+	woken := b.now.Mono
+	b.step(&Reply{Attempt: sent.Attempt, Target: sent.Target, Outcome: Unreachable})
+	if len(b.fx.Sends) != 0 {
+		t.Fatal("sent on an old view")
+	}
+	b.tick(time.Second)
+	if len(b.fx.Sends) != 0 {
+		t.Fatal("sent on an old view after a second")
+	}
+	b.step(&Word{Since: woken})
+	b.tick(time.Second)
+	if len(b.fx.Sends) != 1 || b.fx.Sends[0].Target == sent.Target {
+		t.Errorf("sends after the word: %+v", b.fx.Sends)
+	}
+}
+
+// TestLateWakeCreditsNoTokens checks that a caller's share does not grow for the gap.
+func TestLateWakeCreditsNoTokens(t *testing.T) {
+	b := newPauseBench(t)
+	b.engine.state.Callers["c"].Rate = 1
+	key, limited := uint64(0), func() uint64 { return b.engine.gate.counters.RateLimited }
+	for limited() == 0 {
+		key++
+		b.submit(key)
+	}
+	b.now = b.now.Add(time.Hour)
+	b.step(&CallerGone{})
+	b.step(&Word{Since: b.now.Mono})
+	before := limited()
+	b.submit(key + 1)
+	if limited() != before+1 {
+		t.Error("an hour's pause gave the caller a token")
+	}
+}
