--- a/internal/edge/mesh/mesh_test.go
+++ b/internal/edge/mesh/mesh_test.go
@@ -74,8 +74,9 @@
 func join(t *testing.T, a, b *peer) {
 	t.Helper()
 	hosts := []release.Host{a.host(), b.host()}
-	a.Apply(hosts, []string{b.options.Host})
+	// The accepting side learns its hosts first: it refuses a name that it does not know.
 	b.Apply(hosts, []string{a.options.Host})
+	a.Apply(hosts, []string{b.options.Host})
 	await(t, "one link each way", func() bool { return len(a.Peers()) == 1 && len(b.Peers()) == 1 })
 }
 
--- a/internal/faultmatrix/observer_test.go
+++ b/internal/faultmatrix/observer_test.go
@@ -161,7 +161,7 @@
 }
 
 // began sees a target begin to run an attempt.
-func (o *observer) began(h *host, t *fakeTarget, s *engine.Send) {
+func (o *observer) began(t *fakeTarget, s *engine.Send) {
 	if r := o.byBody[string(s.Request.Body)]; r != nil {
 		r.began++
 	}
--- a/internal/faultmatrix/once_test.go
+++ b/internal/faultmatrix/once_test.go
@@ -41,9 +41,10 @@
 }
 
 func feeItems() []release.Item {
-	items := []release.Item{{Op: release.Add, Service: &release.Service{
+	items := make([]release.Item, 0, 1+len(zones))
+	items = append(items, release.Item{Op: release.Add, Service: &release.Service{
 		Name: feeService, Once: true, Policy: release.Policy{Deadline: queryDeadline},
-	}}}
+	}})
 	for i, zone := range zones {
 		items = append(items, release.Item{Op: release.Add, Target: &release.Target{
 			Name: feeTarget(i), Address: "127.0.0.1:1", Zone: zone, Service: feeService,
