Set the HTTP library's log level once; let a bad frame's writer lose its session

Cause: the race detector saw httpd.Start set hertz's global log level while threads of an earlier listener read it; and TestBadFramesEndTheLink took the write's error for a fault, though the peer may end the session before the write returns. Ruled out: a lock of our own round the level, which the library's reads would not take. Change: the level is set once before the first listener; the test judges by the counters and the new link, which it awaits as before.

--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -33,6 +34,10 @@
 	closeTimeout = 2 * time.Second
 )
 
+// quiet keeps the library's own log lines out of the JSON log. The level is not guarded
+// against the library's threads, so it is set once, before the first of them.
+var quiet = sync.OnceFunc(func() { hlog.SetLevel(hlog.LevelFatal) })
+
 // Start listens on address and serves the routes that route adds.
 func Start(address string, limits Limits, route func(*server.Hertz)) (*Server, error) {
 	socket, err := net.Listen("tcp", address)
@@ -46,7 +51,7 @@
 func Serve(socket net.Listener, limits Limits, route func(*server.Hertz)) (*Server, error) {
 	address := socket.Addr().String()
 	listener := newListener(socket)
-	hlog.SetLevel(hlog.LevelFatal)
+	quiet()
 	h := server.New(
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
--- a/internal/edge/mesh/mesh_test.go
+++ b/internal/edge/mesh/mesh_test.go
@@ -216,9 +216,8 @@
 		a, b := startPeer(t, "a", 1, nil), startPeer(t, "b", 2, nil)
 		join(t, a, b)
 		old := a.linkTo("b")
-		if _, err := old.beats.Write(frame); err != nil {
-			t.Fatal(err)
-		}
+		// The peer may end the session before the write returns, so its error says nothing.
+		_, _ = old.beats.Write(frame)
 		await(t, name+" to be counted", func() bool { s := b.Stats(); return s.FramesOversized+s.FramesMalformed == 1 })
 		await(t, "a new link after "+name, func() bool { l := a.linkTo("b"); return l != nil && l != old })
 	}
