Measure the core at one load for all fan-outs

Change: 3,800 targets and 19,000 sub-requests in progress at every fan-out, as a host has them; answers come in the order of the sends.

--- a/internal/core/engine/bench_test.go
+++ b/internal/core/engine/bench_test.go
@@ -11,82 +11,102 @@
 )
 
 const (
-	benchHits = 10
-	// benchQueries is the number of queries in progress at a time.
-	benchQueries = 16
-	benchWarmUp  = 10
+	benchHits    = 10
 	benchLatency = 5 * time.Millisecond
+	// benchShards and benchInProgress are the shards of the fleet and the sub-requests
+	// in progress, whatever the fan-out: a host's load at a fan-out of 50 is as many
+	// sub-requests as at 1,900, in more queries.
+	benchShards     = 1900
+	benchInProgress = 10 * benchShards
+	benchWarmUp     = 3
 	// maxAllocations bounds the allocations of a sub-request: its send and its reply.
 	maxAllocations = 1.0
 )
 
 // bench plays whole queries on an engine: each shard has two replicas of its own, and
-// all answer at once.
+// all answer in the order of the sends.
 type bench struct {
-	engine  *Engine
-	now     clock.Instant
-	fx      Effects
-	request query.Request
-	submit  Submit
-	sends   []Send
-	reply   Reply
-	answers int
+	engine   *Engine
+	now      clock.Instant
+	fx       Effects
+	services int
+	queries  int
+	requests []query.Request
+	submit   Submit
+	sends    []Send
+	reply    Reply
+	key      uint64
+	answers  int
 }
 
 func newBench(fanOut int) *bench {
-	n := &release.Note{Number: 1, Baseline: true, Items: []release.Item{
-		{Op: release.Add, Zone: &release.Zone{Name: "a", Region: "r"}},
-		{Op: release.Add, Service: &release.Service{Name: "s", Policy: release.Policy{Deadline: time.Second, MinCoverage: 1, HedgeBudget: 0.05}}},
-		{Op: release.Add, Caller: &release.Caller{Name: "c", KeyHash: [32]byte{1}, Services: map[string]bool{"s": true}, Rate: 1e9}},
-	}}
-	snap := &release.Snapshot{Service: "s", Version: 1, Layout: "a", Weight: float64(fanOut)}
-	for i := range fanOut {
-		shard := release.Shard{Weight: 1}
-		for r := range 2 {
-			name := fmt.Sprintf("t%d-%d", i, r)
-			shard.Replicas = append(shard.Replicas, name)
-			n.Items = append(n.Items, release.Item{Op: release.Add, Target: &release.Target{Name: name, Zone: "a", Service: "s", Slots: 64, Connections: 1000, ColdBudget: 64}})
-		}
-		snap.Shards = append(snap.Shards, shard)
+	b := &bench{services: benchShards / fanOut, queries: benchInProgress / fanOut}
+	n := &release.Note{Number: 1, Baseline: true, Items: []release.Item{{Op: release.Add, Zone: &release.Zone{Name: "a", Region: "r"}}}}
+	caller := &release.Caller{Name: "c", KeyHash: [32]byte{1}, Services: map[string]bool{}, Rate: 1e9}
+	for i := range b.services {
+		name := fmt.Sprintf("s%d", i)
+		caller.Services[name] = true
+		n.Items = append(n.Items, benchService(name, fanOut)...)
 	}
-	n.Items = append(n.Items, release.Item{Op: release.Add, Snapshot: snap})
+	n.Items = append(n.Items, release.Item{Op: release.Add, Caller: caller})
 	state, faults := release.Fold(nil, n)
 	if len(faults) > 0 {
 		panic(fmt.Sprint(faults))
 	}
-	b := &bench{engine: New(Config{Host: "h", Zone: "a", Seed: 1, MaxQueries: 100, Hedge: true})}
-	b.request = query.Request{KeyHash: [32]byte{1}, Service: "s", Limit: benchHits}
-	b.submit.Request = &b.request
+	b.engine = New(Config{Host: "h", Zone: "a", Seed: 1, MaxQueries: benchInProgress, Hedge: true})
+	b.requests = make([]query.Request, b.queries)
+	for i := range b.requests {
+		b.requests[i] = query.Request{KeyHash: caller.KeyHash, Service: fmt.Sprintf("s%d", i%b.services), Limit: benchHits}
+	}
 	for i := range benchHits {
 		b.reply.Hits = append(b.reply.Hits, query.Hit{Doc: fmt.Sprint(i), Score: float64(i)})
 	}
 	b.engine.Step(b.now, &Release{State: state}, &b.fx)
+	for range benchWarmUp {
+		b.round()
+	}
 	return b
 }
 
-// round sends benchQueries queries and answers their sub-requests, all queries by turns.
+func benchService(name string, fanOut int) []release.Item {
+	items := []release.Item{{Op: release.Add, Service: &release.Service{Name: name, Policy: release.Policy{Deadline: time.Second, MinCoverage: 1, HedgeBudget: 0.05}}}}
+	snap := &release.Snapshot{Service: name, Version: 1, Layout: "a", Weight: float64(fanOut)}
+	for i := range fanOut {
+		shard := release.Shard{Weight: 1}
+		for r := range 2 {
+			t := fmt.Sprintf("%s-%d-%d", name, i, r)
+			shard.Replicas = append(shard.Replicas, t)
+			items = append(items, release.Item{Op: release.Add, Target: &release.Target{Name: t, Zone: "a", Service: name, Slots: 64, Connections: 1000, ColdBudget: 64}})
+		}
+		snap.Shards = append(snap.Shards, shard)
+	}
+	return append(items, release.Item{Op: release.Add, Snapshot: snap})
+}
+
+// round begins all queries and then answers all their sub-requests.
 func (b *bench) round() {
 	b.sends = b.sends[:0]
-	for range benchQueries {
-		b.request.Key++
+	for i := range b.requests {
+		b.key++
+		b.requests[i].Key = b.key
+		b.submit.Request = &b.requests[i]
 		b.engine.Step(b.now, &b.submit, &b.fx)
 		b.sends = append(b.sends, b.fx.Sends...)
 		b.fx.Reset()
 	}
 	b.now = b.now.Add(benchLatency)
 	b.reply.Outcome, b.reply.Incarnation, b.reply.Elapsed = Answered, 1, benchLatency
-	fanOut := len(b.sends) / benchQueries
-	for shard := range fanOut {
-		for q := range benchQueries {
-			b.end(&b.sends[q*fanOut+shard])
-		}
+	for i := 0; i < len(b.sends); i++ {
+		b.end(&b.sends[i])
 	}
 }
 
+// end answers one sub-request; what was waiting for room is sent by then.
 func (b *bench) end(s *Send) {
 	b.reply.Attempt, b.reply.Target, b.reply.Snapshot = s.Attempt, s.Target, s.Snapshot.Key()
 	b.engine.Step(b.now, &b.reply, &b.fx)
 	b.answers += len(b.fx.Answers)
+	b.sends = append(b.sends, b.fx.Sends...)
 	b.fx.Reset()
 }
 
@@ -94,15 +114,12 @@
 	for _, fanOut := range []int{50, 200, 1900} {
 		b.Run(fmt.Sprintf("fan-out=%d", fanOut), func(b *testing.B) {
 			w := newBench(fanOut)
-			for range benchWarmUp {
-				w.round()
-			}
 			b.ReportAllocs()
 			b.ResetTimer()
 			for range b.N {
 				w.round()
 			}
-			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*fanOut*benchQueries), "ns/sub-request")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*fanOut*w.queries), "ns/sub-request")
 		})
 	}
 }
@@ -110,16 +127,13 @@
 func TestSubRequestAllocatesAtMostOnce(t *testing.T) {
 	for _, fanOut := range []int{50, 200, 1900} {
 		w := newBench(fanOut)
-		for range benchWarmUp {
-			w.round()
-		}
-		const runs = 5
+		const runs = 2
 		answered := w.answers
 		perRound := testing.AllocsPerRun(runs, w.round)
-		if got := w.answers - answered; got != (runs+1)*benchQueries {
-			t.Fatalf("fan-out %d: %d of %d queries were answered", fanOut, got, (runs+1)*benchQueries)
+		if got, want := w.answers-answered, (runs+1)*w.queries; got != want {
+			t.Fatalf("fan-out %d: %d of %d queries were answered", fanOut, got, want)
 		}
-		if got := perRound / float64(fanOut*benchQueries); got > maxAllocations {
+		if got := perRound / float64(fanOut*w.queries); got > maxAllocations {
 			t.Errorf("fan-out %d: %.2f allocations per sub-request, allowed are %.0f", fanOut, got, maxAllocations)
 		}
 	}
