--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -34,6 +34,8 @@
 	Targets target.Options
 	// Queue bounds the admitted requests that wait; 0 admits without a queue.
 	Queue int
+	// MaxGap is the time between steps above which the host woke late; 0 does not look.
+	MaxGap time.Duration
 	// Once bounds the requests that run at most once.
 	Once once.Config
 }
@@ -57,6 +59,7 @@
 	SnapshotsDenied   uint64 `json:"snapshots_denied"`
 	ShardsLost        uint64 `json:"shards_lost"`
 	Restarts          uint64 `json:"restarts"`
+	LateWakes         uint64 `json:"late_wakes"`
 }
 
 // Engine is the data plane's core.
@@ -89,6 +92,7 @@
 	gate     gate
 	turnDue  bool
 	once     onceState
+	pause    pause
 }
 
 // New returns an engine that refuses everything until a Release event.
@@ -113,6 +117,10 @@
 // Step handles one event.
 func (e *Engine) Step(now clock.Instant, ev Event, fx *Effects) {
 	e.advance(now, fx)
+	if e.hold(now, ev, fx) {
+		e.afterStep(now, fx)
+		return
+	}
 	switch ev := ev.(type) {
 	case *Submit:
 		e.submit(now, ev.Request, fx)
@@ -128,8 +136,12 @@
 		e.draining = true
 	case *PeerFacts:
 		e.peerFacts(ev)
+	case *HostList:
+		e.hostList(ev)
 	case *Isolation:
-		e.isolated = ev.Isolated
+		e.isolation(now, ev, fx)
+	case *Word:
+		e.word(now, ev, fx)
 	default:
 		e.stepOnce(now, ev, fx)
 	}
@@ -145,6 +157,8 @@
 
 func (e *Engine) advance(now clock.Instant, fx *Effects) {
 	e.targets.Tick(now)
+	e.noticeGap(now, fx)
+	e.expireHeld(now, fx)
 	for {
 		t, ok := e.timers.popDue(now.Mono)
 		if !ok {
@@ -175,10 +189,18 @@
 }
 
 // NextWake returns when Advance must next be called, and false for never.
-func (e *Engine) NextWake() (time.Duration, bool) { return e.timers.next() }
+func (e *Engine) NextWake() (time.Duration, bool) {
+	due, ok := e.timers.next()
+	if wake, looks := e.pauseWake(); looks && (!ok || wake < due) {
+		return wake, true
+	}
+	return due, ok
+}
 
 // InProgress returns the number of requests in progress, those that wait included.
-func (e *Engine) InProgress() int { return len(e.queries) + e.gate.size + e.once.inProgress() }
+func (e *Engine) InProgress() int {
+	return len(e.queries) + e.gate.size + len(e.pause.held) + e.once.inProgress()
+}
 
 // Draining reports whether the engine refuses new work for a graceful shutdown.
 func (e *Engine) Draining() bool { return e.draining }
--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -33,14 +33,18 @@
 	workersPerLink = 3
 	// handshakeTimeout bounds the dial, TLS and both hellos.
 	handshakeTimeout = 2 * time.Second
-	// silenceLimit closes a link that brings no heartbeat.
+	// silenceLimit closes a standing link that brings no heartbeat.
 	silenceLimit = 3 * time.Second
+	// demandSilenceLimit is the same for a link made on demand.
+	demandSilenceLimit = 3 * membership.DemandInterval
 	// outboxCapacity is the number of heartbeats that wait for a slow link.
 	outboxCapacity = 8
 	// redialPause is the wait between attempts to reach a peer.
 	redialPause = 500 * time.Millisecond
 	// idleLimit closes a link made on demand that carries no call.
 	idleLimit = time.Minute
+	// retireLimit is how long a replaced link is kept for its calls in progress.
+	retireLimit = 5 * time.Second
 	// acceptPause is the wait after a failed accept.
 	acceptPause = 50 * time.Millisecond
 	// kickCapacity is the number of pending wake-ups of the dialer.
@@ -85,10 +89,18 @@
 	handlers  map[wire.CallKind]Handler
 	published map[string]release.Host
 	standing  map[string]bool
-	dialing   map[string]bool
-	nextDial  map[string]time.Time
-	links     map[string]*link
-	newest    map[string]seen
+	// dialing holds a channel for each dial in progress, closed at its end.
+	dialing  map[string]chan struct{}
+	nextDial map[string]time.Time
+	links    map[string]*link
+	newest   map[string]seen
+	// retired are replaced links whose calls in progress may still end.
+	retired []retiredLink
+}
+
+type retiredLink struct {
+	link *link
+	at   time.Time
 }
 
 // seen is the newest incarnation of a peer and when it was last heard.
@@ -108,7 +120,7 @@
 		handlers:  map[wire.CallKind]Handler{},
 		published: map[string]release.Host{},
 		standing:  map[string]bool{},
-		dialing:   map[string]bool{},
+		dialing:   map[string]chan struct{}{},
 		nextDial:  map[string]time.Time{},
 		links:     map[string]*link{},
 		newest:    map[string]seen{},
@@ -249,11 +261,11 @@
 	var due []release.Host
 	for name := range m.standing {
 		host, ok := m.published[name]
-		waiting := m.links[name] != nil || m.dialing[name] || now.Before(m.nextDial[name])
+		waiting := m.links[name] != nil || m.dialing[name] != nil || now.Before(m.nextDial[name])
 		if !ok || waiting || (name <= m.options.Host && !m.bootstrap) {
 			continue
 		}
-		m.dialing[name] = true
+		m.dialing[name] = make(chan struct{})
 		due = append(due, host)
 	}
 	return due
@@ -262,6 +274,7 @@
 func (m *Mesh) dialed(name string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	close(m.dialing[name])
 	delete(m.dialing, name)
 	m.nextDial[name] = time.Now().Add(redialPause)
 }
@@ -280,6 +293,13 @@
 func (m *Mesh) closeIdle() {
 	m.mu.Lock()
 	var idle []*link
+	m.retired = slices.DeleteFunc(m.retired, func(r retiredLink) bool {
+		over := time.Since(r.at) > retireLimit
+		if over {
+			idle = append(idle, r.link)
+		}
+		return over
+	})
 	for name, l := range m.links {
 		if !m.standing[name] && l.idleFor() > idleLimit {
 			idle = append(idle, l)
@@ -321,7 +341,8 @@
 }
 
 // register makes l the link to its peer. A link dialed by the smaller name replaces one
-// that stands; any other is refused while one stands.
+// that stands; any other is refused while one stands. The calls in progress on a replaced
+// link have a while to end, unless they belong to an earlier incarnation.
 func (m *Mesh) register(l *link, dialer string) error {
 	m.mu.Lock()
 	old := m.links[l.peer]
@@ -338,6 +359,10 @@
 		return errTooMany
 	}
 	m.links[l.peer] = l
+	if old != nil && old.incarnation == l.incarnation {
+		m.retired = append(m.retired, retiredLink{link: old, at: time.Now()})
+		old = nil
+	}
 	m.newest[l.peer] = seen{incarnation: l.incarnation, at: time.Now()}
 	m.mu.Unlock()
 	if old != nil {
@@ -382,6 +407,9 @@
 	for _, l := range m.links {
 		links = append(links, l)
 	}
+	for _, r := range m.retired {
+		links = append(links, r.link)
+	}
 	m.mu.Unlock()
 	for _, l := range links {
 		l.close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,13 +10,13 @@
 
 	"github.com/rs/zerolog"
 
-	"pollentack.example/pollentack/internal/core/control"
 	"pollentack.example/pollentack/internal/core/engine"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/admin"
 	"pollentack.example/pollentack/internal/edge/await"
 	"pollentack.example/pollentack/internal/edge/front"
 	"pollentack.example/pollentack/internal/edge/httpd"
+	"pollentack.example/pollentack/internal/edge/mesh"
 	"pollentack.example/pollentack/internal/edge/platform"
 	"pollentack.example/pollentack/internal/edge/targetclient"
 	"pollentack.example/pollentack/internal/edge/trace"
@@ -33,6 +33,7 @@
 // Node is one running host.
 type Node struct {
 	settings *settings.Settings
+	options  Options
 	log      zerolog.Logger
 	tracer   *trace.Tracer
 	clock    wallclock.Clock
@@ -43,6 +44,7 @@
 	control  *controller
 	health   *health
 	reader   *platform.Reader
+	members  *members
 	front    *front.Front
 	admin    *admin.Admin
 
@@ -59,18 +61,18 @@
 type Options struct {
 	Log    zerolog.Logger
 	Tracer *trace.Tracer
-	// Peers replaces the mesh where it is set.
-	Peers Peers
+	// MeshDial replaces the dial of peers where it is set.
+	MeshDial mesh.DialFunc
 }
 
 // Start runs a host until Stop. Listeners open last, so that no request meets a host
 // whose duties do not run yet.
 func Start(s *settings.Settings, o Options) (*Node, error) {
-	n := &Node{settings: s, log: o.Log, tracer: o.Tracer, clock: wallclock.New(), failed: make(chan error, maxDuties), hurry: make(chan struct{})}
-	if o.Peers == nil {
-		o.Peers = noPeers{}
+	n := &Node{
+		settings: s, options: o, log: o.Log, tracer: o.Tracer, clock: wallclock.New(),
+		failed: make(chan error, maxDuties), hurry: make(chan struct{}),
 	}
-	if err := n.start(o.Peers); err != nil {
+	if err := n.start(); err != nil {
 		n.Stop()
 		return nil, fmt.Errorf("start host %q: %w", s.Host.Name, err)
 	}
@@ -78,20 +80,33 @@
 	return n, nil
 }
 
-func (n *Node) start(peers Peers) error {
+func (n *Node) start() error {
 	var err error
 	if n.duties, err = duty.NewGroup(maxDuties, n.dutyFailed); err != nil {
 		return err
 	}
-	if err = n.startQueries(peers); err != nil {
+	if n.members, err = newMembers(n.settings, &n.options, n.clock); err != nil {
+		return err
+	}
+	if err = n.startQueries(n.members.peers()); err != nil {
 		return err
 	}
 	if err = n.startControl(); err != nil {
 		return err
 	}
+	if err = n.startMembers(); err != nil {
+		return err
+	}
 	return n.listen()
 }
 
+// startMembers starts the duty that the queries and the control duty hear from.
+func (n *Node) startMembers() error {
+	n.members.queries = n.queries.put
+	n.members.control = n.control.put
+	return n.duties.Start(n.members.duty())
+}
+
 func (n *Node) startQueries(peers Peers) error {
 	client, err := targetclient.New(n.settings.Host.Name, n.clock, n.tracer)
 	if err != nil {
@@ -110,6 +125,7 @@
 		return err
 	}
 	n.dispatch.peers = n.once
+	n.queries.tell = n.members.tell
 	n.queries.dispatch = n.dispatch.put
 	n.queries.connections = client.Connections
 	n.health = newHealth(client.Health, n.queries.put)
@@ -123,17 +139,24 @@
 }
 
 func (n *Node) startControl() error {
-	n.control = newController(n.clock, n.log, n.inForce)
-	if err := n.duties.Start(n.control.duty()); err != nil {
-		return err
-	}
-	p := n.settings.Platform
-	reader, err := platform.NewReader(p.Address, p.Poll, func(ev control.Event) bool { return n.control.put(ev) })
+	n.control = newController(n.settings, n.clock, n.log, n.inForce)
+	n.control.peers = n.members.inForce
+	n.control.members = n.members.put
+	reader, err := platform.NewReader(n.settings.Platform.Address, n.clock, n.control.put)
 	if err != nil {
 		return err
 	}
 	n.reader = reader
-	return n.duties.Start(duty.Duty{Name: "platform", Run: reader.Run, Stop: reader.Stop})
+	n.control.platform = reader.Put
+	if err := n.duties.Start(n.control.duty()); err != nil {
+		return err
+	}
+	for _, d := range reader.Duties() {
+		if err := n.duties.Start(d); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // inForce hands a state that is in force to the duties that use it.
@@ -152,6 +175,7 @@
 		return err
 	}
 	n.queries.setDeliver(n.front.Deliver)
+	n.members.setIsolated(n.front.SetIsolated)
 	n.admin, err = admin.Start(n.settings.Listen.Admin, httpd.Limits{BodyBytes: adminBodyBytes}, func() any { return n.Status() })
 	return err
 }
--- a/internal/node/queries.go
+++ b/internal/node/queries.go
@@ -17,6 +17,8 @@
 	stepBatch = 256
 	// controlReserve is the room for events that are neither queries nor replies.
 	controlReserve = 1024
+	// maxStepGap is the time between steps above which the host woke late.
+	maxStepGap = 500 * time.Millisecond
 )
 
 // work is one element of the dispatch ring; one field is set.
@@ -62,6 +64,8 @@
 	counted   atomic.Pointer[engineStatus]
 	// changed holds at most one token, put after each change of counted.
 	changed chan struct{}
+	// tell takes effects that concern the peers.
+	tell func(*engine.Effects)
 }
 
 // engineStatus is what the duty last published of its engine.
@@ -90,10 +94,12 @@
 			Hedge:      s.Policy.Hedge,
 			Queue:      s.Limits.Queue,
 			Targets:    targetOptions(s),
+			MaxGap:     maxStepGap,
 			Once:       *tickets,
 		}),
 	}
 	q.connections = func(string) int { return 0 }
+	q.tell = func(*engine.Effects) {}
 	q.setDeliver(func(*engine.Answer) {})
 	q.counted.Store(&engineStatus{})
 	return q
@@ -143,6 +149,7 @@
 func (q *queries) carryOut(fx *engine.Effects) {
 	deliver := *q.deliver.Load()
 	for {
+		q.tell(fx)
 		for i := range fx.Answers {
 			deliver(&fx.Answers[i])
 		}
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -36,9 +36,11 @@
 	Nodes    []*node.Node
 
 	options Options
-	peers   *localPeers
 	hosts   []release.Host
 	number  uint64
+	network *network
+	// entrances are the platform's addresses, one for each host.
+	entrances []*standin.Entrance
 }
 
 // Start runs the layout and waits until the first note is in force on every host.
@@ -46,7 +48,7 @@
 	if options.Tracer == nil {
 		options.Tracer = trace.Off()
 	}
-	t := &Testbed{Layout: layout, Targets: map[string]*standin.Target{}, options: options, peers: newLocalPeers()}
+	t := &Testbed{Layout: layout, Targets: map[string]*standin.Target{}, options: options, network: newNetwork()}
 	if err := t.start(); err != nil {
 		t.Stop()
 		return nil, fmt.Errorf("start testbed: %w", err)
@@ -103,6 +105,12 @@
 		if err != nil {
 			return err
 		}
+		entrance, err := t.Platform.StartEntrance(loopback)
+		if err != nil {
+			return err
+		}
+		t.entrances = append(t.entrances, entrance)
+		t.network.names[address] = i
 		zone := t.Layout.Zones[i%len(t.Layout.Zones)]
 		t.hosts = append(t.hosts, release.Host{Name: fmt.Sprintf("host-%d", i+1), Zone: zone.Name, Mesh: address})
 	}
@@ -157,7 +165,10 @@
 	s.Listen.Front = loopback
 	s.Listen.Admin = loopback
 	s.Listen.Mesh = t.hosts[i].Mesh
-	s.Platform.Address = t.Platform.Address()
+	for _, h := range t.hosts {
+		s.Mesh.Seeds = append(s.Mesh.Seeds, settings.Seed{Name: h.Name, Address: h.Mesh})
+	}
+	s.Platform.Address = t.entrances[i].Address()
 	s.Platform.Poll = time.Second
 	s.Policy.Seed = int(t.Layout.Seed) + i
 	s.Stop.BalancerLag = 0
@@ -165,7 +176,7 @@
 		t.options.Adjust(i, s)
 	}
 	log := t.options.Log.With().Str("host", s.Host.Name).Str("availability_zone", s.Host.Zone).Logger()
-	return node.Start(s, node.Options{Log: log, Tracer: t.options.Tracer, Peers: t.peers.join(s.Host.Name)})
+	return node.Start(s, node.Options{Log: log, Tracer: t.options.Tracer, MeshDial: t.network.dialer(i)})
 }
 
 const (
@@ -229,6 +240,10 @@
 		target.Stop()
 	}
 	if t.Platform != nil {
+		t.Platform.EndWatches()
+		for _, e := range t.entrances {
+			e.Stop()
+		}
 		t.Platform.Stop()
 	}
 }
--- a/internal/wire/convert.go
+++ b/internal/wire/convert.go
@@ -24,9 +24,13 @@
 		Echo:      h.Echo,
 		Note:      h.Note,
 		FactsHash: h.Hash,
+		From:      h.From,
 		UpTo:      h.UpTo,
 		Merged:    h.Merged,
 		Leaving:   h.Leaving,
+		Ask:       h.Ask,
+
+		WatchDistance: h.WatchDistance,
 	}
 	for _, f := range h.Facts {
 		m.Facts = append(m.Facts, &TargetFact{
@@ -50,9 +54,13 @@
 		Echo:     x.GetEcho(),
 		Note:     x.GetNote(),
 		Hash:     x.GetFactsHash(),
+		From:     x.GetFrom(),
 		UpTo:     x.GetUpTo(),
 		Merged:   x.GetMerged(),
 		Leaving:  x.GetLeaving(),
+		Ask:      x.GetAsk(),
+
+		WatchDistance: x.GetWatchDistance(),
 	}
 	for _, f := range x.GetFacts() {
 		h.Facts = append(h.Facts, engine.TargetFact{
