--- /dev/null
+++ b/internal/core/engine/overload_test.go
@@ -0,0 +1,222 @@
+package engine
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pollentack.example/pollentack/internal/core/clock"
+	"pollentack.example/pollentack/internal/core/query"
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/core/result"
+	"pollentack.example/pollentack/internal/core/target"
+)
+
+const (
+	floodHosts    = 3
+	floodShards   = 4
+	floodReplicas = 2
+	floodSlots    = 6
+	floodLatency  = 40 * time.Millisecond
+	floodJitter   = 10 * time.Millisecond
+	floodNetwork  = 200 * time.Microsecond
+	floodDeadline = 500 * time.Millisecond
+	// floodCapacity is the queries a second that the slots bear.
+	floodCapacity = float64(floodReplicas*floodSlots) * float64(time.Second) / float64(floodLatency+floodJitter/2)
+)
+
+// flood plays hosts and targets of a few slots on a virtual clock.
+type flood struct {
+	rng     *rand.Rand
+	now     time.Duration
+	due     floodHeap
+	serial  int
+	hosts   []*Engine
+	wakes   []time.Duration
+	running map[string]int
+	jobs    map[floodJob]bool
+	key     uint64
+	good    int
+	ended   int
+}
+
+type floodJob struct {
+	host    int
+	attempt query.AttemptID
+}
+
+type floodEvent struct {
+	at     time.Duration
+	serial int
+	do     func()
+}
+
+type floodHeap []floodEvent
+
+func (h floodHeap) Len() int { return len(h) }
+func (h floodHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].serial < h[j].serial
+}
+func (h floodHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *floodHeap) Push(x any)   { *h = append(*h, x.(floodEvent)) }
+func (h *floodHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+func newFlood(cfg Config) *flood {
+	f := &flood{rng: rand.New(rand.NewPCG(1, 2)), running: map[string]int{}, jobs: map[floodJob]bool{}}
+	n := &release.Note{Number: 1, Baseline: true, Items: []release.Item{
+		{Op: release.Add, Zone: &release.Zone{Name: "z"}},
+		{Op: release.Add, Service: &release.Service{Name: "licences", Policy: release.Policy{Deadline: floodDeadline, Whole: true, HedgeBudget: 0.05}}},
+	}}
+	snap := &release.Snapshot{Service: "licences", Version: 1, Layout: "a", Weight: floodShards}
+	for i := range floodShards {
+		shard := release.Shard{Weight: 1}
+		for j := range floodReplicas {
+			name := fmt.Sprintf("t-%d-%d", i, j)
+			shard.Replicas = append(shard.Replicas, name)
+			n.Items = append(n.Items, release.Item{Op: release.Add, Target: &release.Target{Name: name, Zone: "z", Service: "licences", Slots: floodSlots, Connections: 90, ColdBudget: 1}})
+		}
+		snap.Shards = append(snap.Shards, shard)
+	}
+	n.Items = append(n.Items, release.Item{Op: release.Add, Snapshot: snap})
+	for i := range floodHosts {
+		n.Items = append(n.Items, release.Item{Op: release.Add, Host: &release.Host{Name: fmt.Sprintf("host-%d", i), Zone: "z"}})
+	}
+	for i := range 10 {
+		name := fmt.Sprintf("caller-%d", i)
+		n.Items = append(n.Items, release.Item{Op: release.Add, Caller: &release.Caller{Name: name, KeyHash: hashOf(name), Services: map[string]bool{"licences": true}}})
+	}
+	state, faults := release.Fold(nil, n)
+	if len(faults) > 0 {
+		panic(fmt.Sprint(faults))
+	}
+	for i := range floodHosts {
+		cfg.Host, cfg.Seed, cfg.Targets.Host = fmt.Sprintf("host-%d", i), uint64(i), fmt.Sprintf("host-%d", i)
+		f.hosts = append(f.hosts, New(cfg))
+		f.wakes = append(f.wakes, 0)
+		f.step(i, &Release{State: state})
+	}
+	return f
+}
+
+func (f *flood) after(d time.Duration, do func()) {
+	f.serial++
+	heap.Push(&f.due, floodEvent{at: f.now + d, serial: f.serial, do: do})
+}
+
+func (f *flood) step(host int, ev Event) {
+	var fx Effects
+	now := clock.Instant{Mono: f.now, Wall: time.Hour + f.now}
+	if ev == nil {
+		f.hosts[host].Advance(now, &fx)
+	} else {
+		f.hosts[host].Step(now, ev, &fx)
+	}
+	for _, a := range fx.Answers {
+		f.ended++
+		if a.Code == result.OK {
+			f.good++
+		}
+	}
+	for _, s := range fx.Sends {
+		f.after(floodNetwork, func() { f.begin(host, s) })
+	}
+	for _, c := range fx.Cancels {
+		f.after(floodNetwork, func() { f.end(floodJob{host, c.Attempt}, c.Spec.Name, nil) })
+	}
+	if due, ok := f.hosts[host].NextWake(); ok && (f.wakes[host] == 0 || due < f.wakes[host]) {
+		f.wakes[host] = due
+		f.after(max(0, due-f.now), func() {
+			f.wakes[host] = 0
+			f.step(host, nil)
+		})
+	}
+}
+
+// begin is what a target does with a request.
+func (f *flood) begin(host int, s Send) {
+	name := s.Spec.Name
+	reply := &Reply{Attempt: s.Attempt, Target: s.Target, Incarnation: 1, Elapsed: 2 * floodNetwork, Outcome: Shed}
+	if f.running[name] >= floodSlots {
+		f.after(floodNetwork, func() { f.step(host, reply) })
+		return
+	}
+	f.running[name]++
+	job := floodJob{host, s.Attempt}
+	f.jobs[job] = true
+	work := floodLatency + time.Duration(f.rng.Int64N(int64(floodJitter)))
+	reply.Outcome = Answered
+	if left := s.Deadline - f.now; work > left {
+		work, reply.Outcome = max(0, left), Lost
+	}
+	reply.Elapsed += work
+	reply.Snapshot = s.Snapshot.Key()
+	f.after(work, func() { f.end(job, name, reply) })
+}
+
+func (f *flood) end(job floodJob, name string, reply *Reply) {
+	if !f.jobs[job] {
+		return
+	}
+	if reply == nil {
+		reply = &Reply{Attempt: job.attempt, Target: f.hosts[job.host].Targets().Lookup(name), Incarnation: 1, Outcome: Cancelled}
+	}
+	delete(f.jobs, job)
+	f.running[name]--
+	f.after(floodNetwork, func() { f.step(job.host, reply) })
+}
+
+// phase offers rate queries a second for d, and returns the goodput and the share that
+// was answered.
+func (f *flood) phase(rate float64, d time.Duration) (perSecond, share float64) {
+	end := f.now + d
+	submitted, good := 0, f.good
+	var arrive func()
+	arrive = func() {
+		if f.now >= end {
+			return
+		}
+		submitted++
+		f.key++
+		name := fmt.Sprintf("caller-%d", f.rng.IntN(10))
+		f.step(f.rng.IntN(floodHosts), &Submit{Request: &query.Request{Key: f.key, KeyHash: hashOf(name), Service: "licences", Limit: 1}})
+		f.after(time.Duration(f.rng.ExpFloat64()/rate*float64(time.Second)), arrive)
+	}
+	f.after(0, arrive)
+	for len(f.due) > 0 && f.due[0].at < end+floodDeadline {
+		ev := heap.Pop(&f.due).(floodEvent)
+		f.now = ev.at
+		ev.do()
+	}
+	f.now = end + floodDeadline
+	return float64(f.good-good) / d.Seconds(), float64(f.good-good) / float64(submitted)
+}
+
+// TestGoodputStaysAtThreeTimesTheCapacity checks the bound on overload, and that the
+// baseline does not keep it, without which the test would show nothing.
+func TestGoodputStaysAtThreeTimesTheCapacity(t *testing.T) {
+	const length = 10 * time.Second
+	run := func(cfg Config) (ratio, recovered float64) {
+		f := newFlood(cfg)
+		half, _ := f.phase(floodCapacity/2, length)
+		whole, _ := f.phase(floodCapacity, length)
+		over, _ := f.phase(3*floodCapacity, length)
+		_, recovered = f.phase(floodCapacity/2, length)
+		t.Logf("goodput %.0f at half, %.0f at whole, %.0f at three times %.0f a second; then %.3f answered", half, whole, over, floodCapacity, recovered)
+		return over / max(half, whole, over), recovered
+	}
+	ratio, recovered := run(Config{MaxQueries: 4096, Queue: 1024, Hedge: true})
+	if ratio < 0.9 || recovered < 0.95 {
+		t.Errorf("goodput at overload is %.2f of the peak, %.3f answered after it", ratio, recovered)
+	}
+	baseline, _ := run(Config{MaxQueries: 4096, Hedge: true, Targets: target.Options{StaticLimit: true}})
+	if baseline >= 0.9 {
+		t.Errorf("the baseline keeps %.2f of the peak", baseline)
+	}
+}
