--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,7 +10,6 @@
 
 	"github.com/rs/zerolog"
 
-	"pollentack.example/pollentack/internal/core/control"
 	"pollentack.example/pollentack/internal/core/engine"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/admin"
@@ -140,18 +139,24 @@
 }
 
 func (n *Node) startControl() error {
-	n.control = newController(n.clock, n.log, n.inForce)
+	n.control = newController(n.settings, n.clock, n.log, n.inForce)
 	n.control.peers = n.members.inForce
-	if err := n.duties.Start(n.control.duty()); err != nil {
-		return err
-	}
-	p := n.settings.Platform
-	reader, err := platform.NewReader(p.Address, p.Poll, func(ev control.Event) bool { return n.control.put(ev) })
+	n.control.members = n.members.put
+	reader, err := platform.NewReader(n.settings.Platform.Address, n.clock, n.control.put)
 	if err != nil {
 		return err
 	}
 	n.reader = reader
-	return n.duties.Start(duty.Duty{Name: "platform", Run: reader.Run, Stop: reader.Stop})
+	n.control.platform = reader.Put
+	if err := n.duties.Start(n.control.duty()); err != nil {
+		return err
+	}
+	for _, d := range reader.Duties() {
+		if err := n.duties.Start(d); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // inForce hands a state that is in force to the duties that use it.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -10,10 +10,12 @@
 
 // Status is what a host says of itself to operators.
 type Status struct {
-	Host          string                   `json:"host"`
-	Zone          string                   `json:"availability_zone"`
-	Note          uint64                   `json:"note"`
-	Rejected      []control.Rejection      `json:"rejected,omitempty"`
+	Host     string              `json:"host"`
+	Zone     string              `json:"availability_zone"`
+	Note     uint64              `json:"note"`
+	Rejected []control.Rejection `json:"rejected,omitempty"`
+	// Waiting are the notes that wait for their predecessor.
+	Waiting       []uint64                 `json:"waiting,omitempty"`
 	InProgress    int                      `json:"in_progress"`
 	Draining      bool                     `json:"draining"`
 	Counters      engine.Counters          `json:"counters"`
@@ -22,6 +24,7 @@
 	Peers         []membership.PeerStatus  `json:"peers,omitempty"`
 	Mesh          *mesh.Stats              `json:"mesh,omitempty"`
 	PlatformCalls uint64                   `json:"platform_calls"`
+	PlatformFails uint64                   `json:"platform_fails"`
 	Admission     engine.AdmissionCounters `json:"admission"`
 	Targets       []TargetStatus           `json:"targets,omitempty"`
 }
@@ -39,12 +42,19 @@
 		InProgress:    q.InProgress,
 		Draining:      q.Draining,
 		Counters:      q.Counters,
-		Rings:         []ring.Stats{n.queries.inbox.Stats(), n.dispatch.inbox.Stats(), n.control.inbox.Stats(), n.members.inbox.Stats()},
+		Waiting:       c.Waiting,
+		Rings:         n.rings(),
 		Isolated:      members.Isolated,
 		Peers:         members.Peers,
 		Mesh:          n.members.meshStats(),
 		PlatformCalls: n.reader.Calls(),
+		PlatformFails: n.reader.Failed(),
 		Admission:     q.Admission,
 		Targets:       q.Targets,
 	}
 }
+
+func (n *Node) rings() []ring.Stats {
+	own := []ring.Stats{n.queries.inbox.Stats(), n.dispatch.inbox.Stats(), n.control.inbox.Stats(), n.members.inbox.Stats()}
+	return append(own, n.reader.Rings()...)
+}
