Keep the goodput at overload: start only what will end in time

Cause: a waiter was given up when less was left than its service's mean duration, so half of those started at the last moment ended late, with their shards' work lost; and twice the limits in progress stretched each. Change: the margin is the mean and four mean deviations; 1.5 times the limits may be in progress.

--- a/internal/core/engine/gate.go
+++ b/internal/core/engine/gate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -21,7 +22,9 @@
 	capacityAge = 20 * time.Millisecond
 	// capacityFactor is how many queries may be in progress for each that the targets'
 	// limits allow at once: shards of a query end at different times.
-	capacityFactor = 2
+	capacityFactor = 1.5
+	// spreadFactor is how many times the usual spread a late query may take longer.
+	spreadFactor = 4
 	// usualWeight is the share of a new sample in a service's usual duration, as 1/n.
 	usualWeight = 16
 )
@@ -73,8 +76,10 @@
 	criticality release.Criticality
 	queue       *admission.Queue[*waiter]
 	running     int
-	// usual is the moving average of the time from start to answer.
+	// usual is the moving average of the time from start to answer, and spread that of
+	// the distance from it.
 	usual      time.Duration
+	spread     time.Duration
 	capacity   int
 	capacityAt time.Duration
 }
@@ -143,10 +148,20 @@
 	delete(g.running, key)
 	r.service.running--
 	if code == result.OK {
-		r.service.usual += (now - r.begin - r.service.usual) / usualWeight
+		r.service.observe(now - r.begin)
 	}
 }
 
+// observe takes the time from start to answer of one query.
+func (sg *serviceGate) observe(elapsed time.Duration) {
+	distance := elapsed - sg.usual
+	sg.usual += distance / usualWeight
+	sg.spread += (max(distance, -distance) - sg.spread) / usualWeight
+}
+
+// needed is the time that nearly every query of the service takes from its start.
+func (sg *serviceGate) needed() time.Duration { return sg.usual + spreadFactor*sg.spread }
+
 // takeToken charges the caller's share of its published rate.
 func (e *Engine) takeToken(now clock.Instant, caller *release.Caller) *result.Error {
 	b, ok := e.gate.buckets[caller.Name]
@@ -172,7 +187,7 @@
 	}
 	sg := e.gate.service(svc.Name)
 	if sg.capacity == 0 || now.Mono-sg.capacityAt >= capacityAge {
-		sg.capacity = capacityFactor * e.capacity(plan)
+		sg.capacity = int(math.Ceil(capacityFactor * float64(e.capacity(plan))))
 		sg.capacityAt = now.Mono
 	}
 	return sg.running < sg.capacity
@@ -209,7 +224,7 @@
 		e.refuseFull(w, fx)
 		return
 	}
-	hopeless := w.deadline - min(sg.usual, (w.deadline-w.arrived)/2)
+	hopeless := w.deadline - min(sg.needed(), (w.deadline-w.arrived)/2)
 	sg.queue.Push(admission.Waiter[*waiter]{Caller: caller.Name, Cost: len(plan.Groups), Hopeless: hopeless, Value: w})
 	e.gate.size++
 	e.gate.counters.Queued++
