--- a/internal/core/engine/gate.go
+++ b/internal/core/engine/gate.go
@@ -169,7 +169,7 @@
 		b = &admission.Bucket{}
 		e.gate.buckets[caller.Name] = b
 	}
-	if b.Take(now.Mono, admission.Share(caller.Rate, e.gate.hosts)) {
+	if b.Take(e.pause.credited(now), admission.Share(caller.Rate, e.gate.hosts)) {
 		return nil
 	}
 	e.gate.counters.RateLimited++
--- a/internal/core/engine/oncerun.go
+++ b/internal/core/engine/oncerun.go
@@ -78,6 +78,9 @@
 }
 
 func (e *Engine) offerRun(run *onceRun, fx *Effects) bool {
+	if e.pause.waiting {
+		return false
+	}
 	id := e.targets.PickRun(e.once.targets[run.req.Service], run.last)
 	if id == target.None {
 		return false
--- a/internal/faultmatrix/target_test.go
+++ b/internal/faultmatrix/target_test.go
@@ -90,7 +90,7 @@
 func (t *fakeTarget) begin(h *host, life int, s engine.Send, r *engine.Reply) {
 	key := runKey{host: h.index, life: life, attempt: s.Attempt}
 	t.running[key] = true
-	t.w.observer.began(h, t, &s)
+	t.w.observer.began(t, &s)
 	work := usualWork
 	switch {
 	case t.slow:
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"slices"
+
 	"pollentack.example/pollentack/internal/core/control"
 	"pollentack.example/pollentack/internal/core/engine"
 	"pollentack.example/pollentack/internal/core/membership"
@@ -55,6 +57,8 @@
 }
 
 func (n *Node) rings() []ring.Stats {
-	own := []ring.Stats{n.queries.inbox.Stats(), n.dispatch.inbox.Stats(), n.control.inbox.Stats(), n.members.inbox.Stats()}
-	return append(own, n.reader.Rings()...)
+	return slices.Concat(
+		[]ring.Stats{n.queries.inbox.Stats(), n.dispatch.inbox.Stats(), n.control.inbox.Stats(), n.members.inbox.Stats()},
+		n.reader.Rings(),
+	)
 }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -94,6 +94,7 @@
 // waits gets no answer of the engine. It is for tests and experiments.
 func (n *Node) Abort() {
 	n.stopOnce.Do(func() {
+		n.members.close()
 		n.queries.inbox.Close()
 		n.once.waiters.Abandon()
 		n.front.Stop()
