Count health checks and cancellations within the connection share

Cause: health checks of the poller went beside the host's share of a target's connections, and no test counted connections where they arrive. Change: both are left out where the share has no connection to spare; the stand-in counts the most that were open at a time.

--- a/internal/edge/targetclient/connections.go
+++ b/internal/edge/targetclient/connections.go
@@ -46,12 +46,14 @@
 	return u.busy > u.open
 }
 
-// acquireSpare counts one busy connection where the quota has one left.
+// acquireSpare counts one busy connection for a call that may be left out, where the
+// quota has one left beside those of requests. Before the first request the quota is not
+// known, and one call at a time is within any.
 func (c *connections) acquireSpare(address string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := c.of(address)
-	if u.busy >= u.quota {
+	if u.quota == 1 || u.busy >= max(1, u.quota) {
 		return false
 	}
 	u.busy++
--- a/internal/edge/targetclient/health.go
+++ b/internal/edge/targetclient/health.go
@@ -19,6 +19,10 @@
 // engine decides what to make of it.
 func (c *Client) Health(spec *release.Target) *engine.Health {
 	h := &engine.Health{Name: spec.Name}
+	if !c.conns.acquireSpare(spec.Address) {
+		return h
+	}
+	defer c.conns.release(spec.Address)
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
--- a/internal/standin/cold.go
+++ b/internal/standin/cold.go
@@ -43,6 +43,8 @@
 	Falls int
 	// Warmed is how long it was cold, 0 while it is.
 	Warmed time.Duration
+	// Connections is the most that were open at a time.
+	Connections int
 	// LastBegan is when it last began work.
 	LastBegan time.Time
 	Served    uint64
@@ -59,7 +61,9 @@
 		Excess:    t.cold.excess,
 		Falls:     t.cold.falls,
 		LastBegan: t.lastBegan,
-		Served:    t.served,
+
+		Connections: t.listener.mostOpen(),
+		Served:      t.served,
 	}
 	if !t.cold.warmAt.IsZero() {
 		r.Warmed = t.cold.warmAt.Sub(t.cold.since)
@@ -154,6 +158,7 @@
 	mu     sync.Mutex
 	inner  net.Listener
 	conns  map[net.Conn]bool
+	peak   int
 	upAt   time.Time
 	closed bool
 }
@@ -235,10 +240,17 @@
 	}
 }
 
+func (l *restartListener) mostOpen() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peak
+}
+
 func (l *restartListener) track(conn net.Conn) net.Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[conn] = true
+	l.peak = max(l.peak, len(l.conns))
 	return &trackedConn{Conn: conn, listener: l}
 }
 
--- /dev/null
+++ b/internal/testbed/targets_test.go
@@ -0,0 +1,68 @@
+package testbed_test
+
+import (
+	"testing"
+	"time"
+
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/core/target"
+	"pollentack.example/pollentack/internal/load"
+	"pollentack.example/pollentack/internal/standin"
+	"pollentack.example/pollentack/internal/testbed"
+)
+
+// TestConnectionsStayWithinThePublishedLimit counts at the targets what all hosts
+// together open, with hedges, cancellations and health checks.
+func TestConnectionsStayWithinThePublishedLimit(t *testing.T) {
+	const (
+		hosts   = 3
+		limit   = 12
+		queries = 400
+	)
+	bed, err := testbed.Start(testbed.Layout{
+		Seed:  1,
+		Zones: testbed.ThreeZones(),
+		Hosts: hosts,
+		Services: []testbed.ServiceLayout{{
+			Name:        "licences",
+			Shards:      2,
+			Replicas:    2,
+			Connections: limit,
+			Policy:      release.Policy{Deadline: time.Second, MinCoverage: 1, HedgeBudget: 0.05},
+			Behaviour:   standin.Behaviour{Latency: 5 * time.Millisecond, Jitter: 2 * time.Millisecond, SlowShare: 0.05, SlowFactor: 10, Slots: 8, ColdBudget: 1},
+		}},
+		Callers: 1,
+	}, testbed.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer bed.Stop()
+	report, err := load.Run(&load.Config{
+		Fronts:  bed.Fronts(),
+		Mix:     []load.Share{{Service: "licences", Keys: []string{testbed.Key(0)}, Weight: 1}},
+		Rate:    400,
+		Queries: queries,
+		Seed:    1,
+		Limit:   1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Answered == 0 {
+		t.Fatalf("nothing was answered: %+v", report)
+	}
+	// A connection that a host has closed counts at the target until it notices, for
+	// which the part of the limit that is not shared out has room.
+	for name, s := range bed.Targets {
+		if n := s.Report().Connections; n == 0 || n > limit {
+			t.Errorf("%s: %d connections were open at a time, the limit is %d", name, n, limit)
+		}
+	}
+	for _, n := range bed.Nodes {
+		for _, s := range n.Status().Targets {
+			if s.Connections > target.Quota(limit, hosts) {
+				t.Errorf("%s has %d connections to %s, its share is %d", n.Status().Host, s.Connections, s.Target, s.Quota)
+			}
+		}
+	}
+}
