--- a/internal/core/control/control.go
+++ b/internal/core/control/control.go
@@ -34,6 +34,7 @@
 	rejected []Rejection
 	leaving  map[string]bool
 	watch    *watch.Watch
+	recent   []*release.Note
 }
 
 // New returns a Control with nothing in force.
@@ -158,6 +159,7 @@
 		return
 	}
 	c.state = next
+	c.remember(n)
 	fx.InForce = next
 	c.rejected = slices.DeleteFunc(c.rejected, func(r Rejection) bool { return r.Number == n.Number })
 	c.watch.InForce(next)
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -56,6 +56,8 @@
 	tracer  *trace.Tracer
 	next    atomic.Uint64
 	refused atomic.Bool
+	// isolated fails the balancer's check for as long as it is set.
+	isolated atomic.Bool
 
 	mu      sync.Mutex
 	waiting map[uint64]chan engine.Answer
@@ -63,10 +65,16 @@
 	server *httpd.Server
 }
 
-// Start listens on address. submit hands a request over and reports whether it was taken.
-func Start(address string, limits httpd.Limits, tracer *trace.Tracer, submit func(*engine.Submit) bool) (*Front, error) {
+// Start listens on address. submit hands a request over and reports whether it was
+// taken; routes add further paths.
+func Start(address string, limits httpd.Limits, tracer *trace.Tracer, submit func(*engine.Submit) bool, routes ...func(*server.Hertz)) (*Front, error) {
 	f := &Front{submit: submit, tracer: tracer, waiting: map[uint64]chan engine.Answer{}}
-	s, err := httpd.Start(address, limits, f.routes)
+	s, err := httpd.Start(address, limits, func(h *server.Hertz) {
+		f.routes(h)
+		for _, route := range routes {
+			route(h)
+		}
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -80,6 +88,9 @@
 // FailHealth makes the balancer's check fail from now on.
 func (f *Front) FailHealth() { f.refused.Store(true) }
 
+// SetIsolated makes the balancer's check fail while the host is isolated.
+func (f *Front) SetIsolated(isolated bool) { f.isolated.Store(isolated) }
+
 // Stop stops listening once the requests in progress have been answered.
 func (f *Front) Stop() { f.server.Close() }
 
@@ -95,15 +106,29 @@
 }
 
 func (f *Front) routes(h *server.Hertz) {
+	h.Use(f.closeWhenLeaving)
 	h.POST("/v1/services/:service/query", f.query)
 	h.GET("/healthz", f.healthz)
 }
 
+// closeWhenLeaving tells callers to end their connections once the balancer's check
+// fails, so that none is idle when the listener closes.
+func (f *Front) closeWhenLeaving(ctx context.Context, c *app.RequestContext) {
+	c.Next(ctx)
+	if f.refused.Load() {
+		c.Response.Header.SetConnectionClose(true)
+	}
+}
+
 func (f *Front) healthz(_ context.Context, c *app.RequestContext) {
 	if f.refused.Load() {
 		c.String(http.StatusServiceUnavailable, "leaving\n")
 		return
 	}
+	if f.isolated.Load() {
+		c.String(http.StatusServiceUnavailable, "isolated\n")
+		return
+	}
 	c.String(http.StatusOK, "ok\n")
 }
 
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -27,7 +28,11 @@
 	inbox    *ring.Ring[control.Event]
 	queries  func(engine.Event) bool
 	platform func(watch.Call) bool
-	status   atomic.Pointer[controlStatus]
+	// peers takes what peers may fetch whenever it changes.
+	peers func(*control.Shared)
+	// reached takes when a call to the platform that succeeded was made.
+	reached func(time.Duration)
+	status  atomic.Pointer[controlStatus]
 }
 
 type controlStatus struct {
@@ -49,6 +54,8 @@
 		}),
 		inbox:   ring.New[control.Event]("control", controlCapacity),
 		queries: queries,
+		peers:   func(*control.Shared) {},
+		reached: func(time.Duration) {},
 	}
 	c.status.Store(&controlStatus{})
 	return c
@@ -81,6 +88,7 @@
 func (c *controller) carryOut(fx *control.Effects) {
 	if fx.InForce != nil {
 		c.queries(&engine.Release{State: fx.InForce})
+		c.peers(c.core.Shared())
 		c.log.Info().Str("event", "note_in_force").Uint64("note", fx.InForce.Number).Send()
 	}
 	for _, r := range fx.Rejected {
@@ -90,6 +98,9 @@
 		c.queries(&engine.HostList{Leaving: fx.Leaving})
 		c.log.Info().Str("event", "hosts_leaving").Strs("names", fx.Leaving).Send()
 	}
+	if fx.Reached > 0 {
+		c.reached(fx.Reached)
+	}
 	for _, call := range fx.Calls {
 		c.platform(call)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,24 @@
 	Policy   Policy
 	Log      Log
 	Trace    Trace
+	Mesh     Mesh
+	Once     Once
+	Stop     Stop
+}
+
+// Mesh names the PEM files of mutual TLS between hosts; all are empty on loopback.
+type Mesh struct {
+	Certificate string
+	Key         string
+	Authority   string
+	// Seeds are peers that a starting host asks when the platform is down.
+	Seeds []Seed
+}
+
+// Seed is a peer's name and mesh address.
+type Seed struct {
+	Name    string
+	Address string
 }
 
 // Host says who this process is.
@@ -53,7 +71,9 @@
 
 // Limits bound what the host holds.
 type Limits struct {
-	Queries     int
+	Queries int
+	// Queue is the number of admitted queries that may wait, 0 for no queue.
+	Queue       int
 	BodyBytes   int
 	Connections int
 }
@@ -62,6 +82,10 @@
 type Policy struct {
 	Hedge bool
 	Seed  int
+	// StaticLimit, NoWarmUp and RoundRobin select baselines of package target.
+	StaticLimit bool
+	NoWarmUp    bool
+	RoundRobin  bool
 }
 
 // Log says how much is logged.
@@ -101,6 +125,9 @@
 		{"policy", s.readPolicy},
 		{"log", s.readLog},
 		{"trace", s.readTrace},
+		{"mesh", s.readMesh},
+		{"once", s.readOnce},
+		{"stop", s.readStop},
 	}
 	for _, reader := range readers {
 		section := f.Section(reader.name)
@@ -164,6 +191,7 @@
 
 func (s *Settings) readLimits(sec *inifile.Section) {
 	s.Limits.Queries = sec.Int("queries", 4096, 1, 1_000_000)
+	s.Limits.Queue = sec.Int("queue", 1024, 0, 1_000_000)
 	s.Limits.BodyBytes = sec.Int("body-bytes", 64<<10, 1<<10, 16<<20)
 	s.Limits.Connections = sec.Int("connections", 2048, 1, 65_535)
 }
@@ -171,6 +199,9 @@
 func (s *Settings) readPolicy(sec *inifile.Section) {
 	s.Policy.Hedge = sec.Bool("hedge", true)
 	s.Policy.Seed = sec.Int("seed", 1, 0, 1<<31-1)
+	s.Policy.StaticLimit = sec.Choice("limit", "adaptive", "adaptive", "static") == "static"
+	s.Policy.NoWarmUp = !sec.Bool("warm-up", true)
+	s.Policy.RoundRobin = sec.Choice("selection", "two-choice", "two-choice", "round-robin") == "round-robin"
 }
 
 func (s *Settings) readLog(sec *inifile.Section) {
@@ -188,3 +219,21 @@
 		sec.Required("file")
 	}
 }
+
+func (s *Settings) readMesh(sec *inifile.Section) {
+	s.Mesh.Certificate = sec.Text("certificate", "")
+	s.Mesh.Key = sec.Text("key", "")
+	s.Mesh.Authority = sec.Text("authority", "")
+	set := s.Mesh.Certificate != "" || s.Mesh.Key != "" || s.Mesh.Authority != ""
+	if set && (s.Mesh.Certificate == "" || s.Mesh.Key == "" || s.Mesh.Authority == "") {
+		sec.Fault("certificate", "certificate, key and authority are set together or not at all")
+	}
+	for _, text := range sec.List("seeds") {
+		name, address, ok := strings.Cut(text, "@")
+		if !ok || name == "" || address == "" {
+			sec.Fault("seeds", "%q is not NAME@ADDRESS", text)
+			continue
+		}
+		s.Mesh.Seeds = append(s.Mesh.Seeds, Seed{Name: name, Address: address})
+	}
+}
