Plan and diff release notes offline

note check told whether a note is taken, not what it would do. note plan names the targets that gain and lose work, the callers that gain and lose access and the shards left without a replica; note diff lists the items by the lines that differ.

Ruled out: comparing the typed values by reflection in the core, which the shape's import list refuses; the diff compares the encoded lines instead.

--- a/cmd/pollentack/check.go
+++ b/cmd/pollentack/check.go
@@ -34,6 +34,8 @@
 
 type noteCmd struct {
 	Check noteCheckCmd `cmd:"" help:"Fold notes in order and print every fault."`
+	Plan  notePlanCmd  `cmd:"" help:"Print what the last note would change: targets gaining and losing work, callers losing access."`
+	Diff  noteDiffCmd  `cmd:"" help:"Print the items that the last note adds, changes and withdraws."`
 }
 
 type noteCheckCmd struct {
--- a/cmd/pollentack/check_test.go
+++ b/cmd/pollentack/check_test.go
@@ -28,3 +28,28 @@
 		}
 	}
 }
+
+// TestNotePlanAndDiff checks both commands on the notes of the Dakar example.
+func TestNotePlanAndDiff(t *testing.T) {
+	files := []string{"../../examples/dakar/note-1.ini", "../../examples/dakar/note-2.ini"}
+	var plan, diff, stderr bytes.Buffer
+	if code := run(append([]string{"note", "plan", "--json"}, files...), &plan, &stderr); code != 0 {
+		t.Fatalf("exit code %d: %s", code, stderr.String())
+	}
+	for _, want := range []string{
+		`"from":1,"to":2`, `{"name":"fee-desk-1","reason":"is leaving"}`,
+		`{"name":"fee-desk-4","reason":"availability zone thies-a is out"}`,
+		`"callers_losing":[{"name":"driver-phones"`, `"shards_unserved":[]`,
+	} {
+		if !strings.Contains(plan.String(), want) {
+			t.Errorf("plan lacks %s:\n%s", want, plan.String())
+		}
+	}
+	if code := run(append([]string{"note", "diff"}, files...), &diff, &stderr); code != 0 {
+		t.Fatalf("exit code %d: %s", code, stderr.String())
+	}
+	want := "changed   target fee-desk-1\n  - leaving = false\n  + leaving = true\n"
+	if !strings.Contains(diff.String(), want) || strings.Count(diff.String(), "changed") != 3 {
+		t.Errorf("diff is\n%s\nwant three changes, among them\n%s", diff.String(), want)
+	}
+}
