Add pollentack load: an open loop from an INI file

The load generator could only be called from code. load reads fronts, rate and a mix of services with their callers' keys, shows progress each second on standard error and prints a summary or one JSON object.

--- a/cmd/pollentack/demo.go
+++ b/cmd/pollentack/demo.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"time"
@@ -62,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	if err := printReport(report, cmd.JSON); err != nil {
+	if err := printReport(os.Stdout, report, cmd.JSON); err != nil {
 		return err
 	}
 	if cmd.Hold {
@@ -120,21 +119,6 @@
 	return nil
 }
 
-func printReport(r *load.Report, asJSON bool) error {
-	if asJSON {
-		if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
-			return fmt.Errorf("print summary: %w", err)
-		}
-		return nil
-	}
-	fmt.Printf("queries     %d, answered %d, failed %d\n", r.Queries, r.Answered, r.Failed)
-	fmt.Printf("latency     p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms\n", r.P50MS, r.P99MS, r.P999MS)
-	fmt.Printf("coverage    %.4f\n", r.CoverageMean)
-	fmt.Printf("extra load  %.4f\n", r.ExtraLoad)
-	fmt.Printf("refusals    %v\n", r.Refusals)
-	return nil
-}
-
 func hold(bed *testbed.Testbed) {
 	for _, n := range bed.Nodes {
 		fmt.Printf("front http://%s  operators http://%s\n", n.FrontAddress(), n.AdminAddress())
--- a/cmd/pollentack/main.go
+++ b/cmd/pollentack/main.go
@@ -29,6 +29,7 @@
 	Query      queryCmd      `cmd:"" help:"Send one query to a host and print the answer."`
 	Ticket     ticketCmd     `cmd:"" help:"Get a ticket for a request that runs at most once."`
 	Once       onceCmd       `cmd:"" help:"Send a request that runs at most once, or learn its outcome."`
+	Load       loadCmd       `cmd:"" help:"Drive hosts with an open loop of queries and print a summary."`
 	Status     statusCmd     `cmd:"" help:"Show what hosts have in force and what differs between them."`
 	Settings   settingsCmd   `cmd:"" help:"Work with settings files."`
 	Note       noteCmd       `cmd:"" help:"Work with release notes, offline."`
--- a/internal/inifile/value.go
+++ b/internal/inifile/value.go
@@ -108,14 +108,29 @@
 // OptionalAddress returns the IP:PORT at key, or nothing.
 func (s *Section) OptionalAddress(key string) string {
 	text := s.Text(key, "")
-	if text == "" {
-		return ""
+	if text != "" {
+		s.checkAddress(key, text)
+	}
+	return text
+}
+
+// Addresses returns the comma-separated IP:PORTs at key, of which there must be one.
+func (s *Section) Addresses(key string) []string {
+	list := s.List(key)
+	if len(list) == 0 {
+		s.Fault(key, "is required; %s, with commas between several", addressForm)
+	}
+	for _, text := range list {
+		s.checkAddress(key, text)
 	}
+	return list
+}
+
+func (s *Section) checkAddress(key, text string) {
 	address, err := netip.ParseAddrPort(text)
 	if err != nil || address.Port() == 0 || address.Addr().Zone() != "" {
 		s.Fault(key, "%q is not an address; %s", text, addressForm)
 	}
-	return text
 }
 
 // Int returns a whole number between least and most.
--- /dev/null
+++ b/internal/load/config.go
@@ -0,0 +1,73 @@
+package load
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"pollentack.example/pollentack/internal/inifile"
+)
+
+const (
+	maxRate        = 1_000_000
+	maxQueries     = 100_000_000
+	defaultRate    = 100
+	defaultQueries = 1000
+	maxHits        = 1000
+	maxTimeout     = time.Minute
+)
+
+// LoadConfig reads and checks the INI file of a run.
+func LoadConfig(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read load settings: %w", err)
+	}
+	return ParseConfig(path, text)
+}
+
+// ParseConfig reads a run: a [load] section, and a [service NAME] section for each part
+// of the mix. name stands for the file in faults.
+func ParseConfig(name string, text []byte) (*Config, error) {
+	f := inifile.Parse(name, text)
+	c := &Config{}
+	head := f.Section("load")
+	if head == nil {
+		head = inifile.Empty(f, "load")
+	}
+	c.readHead(head)
+	for _, s := range f.Sections {
+		service, isService := strings.CutPrefix(s.Name, "service ")
+		switch {
+		case s == head:
+		case isService:
+			c.readShare(strings.TrimSpace(service), s)
+		default:
+			f.Unknown(s, "load, service NAME")
+		}
+	}
+	if len(c.Mix) == 0 {
+		f.Fail("has no [service NAME] section")
+	}
+	return c, f.Err()
+}
+
+func (c *Config) readHead(s *inifile.Section) {
+	c.Fronts = s.Addresses("fronts")
+	c.Rate = s.Float("rate-per-second", defaultRate, 0.01, maxRate)
+	c.Queries = s.Int("queries", defaultQueries, 1, maxQueries)
+	c.Seed = uint64(s.Int("seed", 1, 0, 1<<31-1))
+	c.Limit = s.Int("limit", 10, 1, maxHits)
+	c.Timeout = s.Duration("timeout", 0, 0, maxTimeout)
+	s.RejectUnused()
+}
+
+func (c *Config) readShare(service string, s *inifile.Section) {
+	share := Share{Service: service, Keys: s.List("keys"), Weight: s.Float("weight", 1, 0.000_001, 1e6)}
+	if len(share.Keys) == 0 {
+		s.Fault("keys", "is required; allowed are callers' keys with commas between them")
+	}
+	s.RejectUnused()
+	c.Mix = append(c.Mix, share)
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -40,6 +40,9 @@
 	Timeout time.Duration
 	// OnAnswer sees every answer, from several threads; nil for none.
 	OnAnswer func(*front.AnswerBody)
+	// OnProgress sees the number of queries that have ended and of those that failed,
+	// one call at a time; nil for none.
+	OnProgress func(ended, failed int)
 }
 
 // Report is the outcome of a run.
@@ -150,6 +153,11 @@
 	r.report.Queries++
 	if err != nil {
 		r.report.Failed++
+	}
+	if r.config.OnProgress != nil {
+		r.config.OnProgress(r.report.Queries, r.report.Failed)
+	}
+	if err != nil {
 		return
 	}
 	if answer.Code != result.OK {
