--- a/internal/core/engine/scatter.go
+++ b/internal/core/engine/scatter.go
@@ -52,6 +52,9 @@
 	if !slot.CanTry() {
 		return target.Choice{ID: target.None}
 	}
+	if e.pause.waiting {
+		return target.Choice{ID: target.None, Usable: true, Retry: now.Mono + wordPause}
+	}
 	c := e.targets.Choose(now.Mono, q.Plan.Groups[shard].Replicas, avoid, lackingOf(q.Plan, now))
 	if c.ID == target.None {
 		return c
--- a/internal/edge/mesh/call.go
+++ b/internal/edge/mesh/call.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -23,6 +24,8 @@
 	requestTimeout = 5 * time.Second
 	// refusalTimeout bounds the write of a refusal, which holds up the next stream.
 	refusalTimeout = 100 * time.Millisecond
+	// crossedPause lets the peer's dial, which made it refuse ours, become a link.
+	crossedPause = 50 * time.Millisecond
 )
 
 // Call asks a peer's handler and waits for at most timeout. The error is ErrNotSent or
@@ -30,7 +33,7 @@
 func (m *Mesh) Call(host string, kind wire.CallKind, payload []byte, timeout time.Duration) ([]byte, error) {
 	deadline := time.Now().Add(timeout)
 	m.counters.callsMade.Add(1)
-	l, err := m.linkOnDemand(host)
+	l, err := m.linkOnDemand(host, deadline)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -65,26 +68,60 @@
 	return resp.GetPayload(), nil
 }
 
-// linkOnDemand returns the link to a published host, dialing it where none stands.
-func (m *Mesh) linkOnDemand(name string) (*link, error) {
+// linkOnDemand returns the link to a published host, dialing it where none stands. A
+// dial in progress is waited for, and after one that failed the peer's own dial, which
+// may have crossed it.
+func (m *Mesh) linkOnDemand(name string, deadline time.Time) (*link, error) {
+	for {
+		host, dialing, l, err := m.claimDial(name)
+		switch {
+		case err != nil || l != nil:
+			return l, err
+		case dialing != nil:
+			if !waitFor(dialing, deadline) {
+				return nil, fmt.Errorf("host %q is being dialed: %w", name, os.ErrDeadlineExceeded)
+			}
+			continue
+		}
+		if l, err = m.dialOnDemand(host); err == nil {
+			return l, nil
+		}
+		time.Sleep(min(crossedPause, max(0, time.Until(deadline))))
+		if l = m.linkTo(name); l != nil {
+			return l, nil
+		}
+		return nil, err
+	}
+}
+
+// claimDial returns the link that stands, the end of a dial in progress, or the host that
+// the caller must now dial.
+func (m *Mesh) claimDial(name string) (release.Host, <-chan struct{}, *link, error) {
 	m.mu.Lock()
-	l := m.links[name]
+	defer m.mu.Unlock()
+	if l := m.links[name]; l != nil {
+		return release.Host{}, nil, l, nil
+	}
 	host, ok := m.published[name]
-	ok = ok && name != m.options.Host
-	busy := m.dialing[name]
-	if l == nil && ok && !busy {
-		m.dialing[name] = true
-	}
-	m.mu.Unlock()
-	switch {
-	case l != nil:
-		return l, nil
-	case !ok:
-		return nil, fmt.Errorf("host %q is not published", name)
-	case busy:
-		return nil, fmt.Errorf("host %q is being dialed", name)
-	}
-	return m.dialOnDemand(host)
+	if !ok || name == m.options.Host {
+		return host, nil, nil, fmt.Errorf("host %q is not a published peer", name)
+	}
+	if dialing := m.dialing[name]; dialing != nil {
+		return host, dialing, nil, nil
+	}
+	m.dialing[name] = make(chan struct{})
+	return host, nil, nil, nil
+}
+
+func waitFor(done <-chan struct{}, deadline time.Time) bool {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+		return false
+	}
 }
 
 func (m *Mesh) dialOnDemand(host release.Host) (*link, error) {
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -2,12 +2,12 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"github.com/rs/zerolog"
 
 	"pollentack.example/pollentack/internal/core/control"
 	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/membership"
 	"pollentack.example/pollentack/internal/core/watch"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/wallclock"
@@ -30,9 +30,10 @@
 	platform func(watch.Call) bool
 	// peers takes what peers may fetch whenever it changes.
 	peers func(*control.Shared)
-	// reached takes when a call to the platform that succeeded was made.
-	reached func(time.Duration)
-	status  atomic.Pointer[controlStatus]
+	// members takes what the platform's answers say of this host's contact.
+	members  func(membership.Event) bool
+	watching bool
+	status   atomic.Pointer[controlStatus]
 }
 
 type controlStatus struct {
@@ -55,7 +56,6 @@
 		inbox:   ring.New[control.Event]("control", controlCapacity),
 		queries: queries,
 		peers:   func(*control.Shared) {},
-		reached: func(time.Duration) {},
 	}
 	c.status.Store(&controlStatus{})
 	return c
@@ -85,6 +85,17 @@
 	}
 }
 
+// tellWatching tells the peers' duty when this host begins or ceases to watch the
+// platform with success.
+func (c *controller) tellWatching() {
+	watching := c.core.Watching(c.clock.Now())
+	if watching == c.watching {
+		return
+	}
+	c.watching = watching
+	c.members(&membership.Watching{Watching: watching})
+}
+
 func (c *controller) carryOut(fx *control.Effects) {
 	if fx.InForce != nil {
 		c.queries(&engine.Release{State: fx.InForce})
@@ -99,11 +110,12 @@
 		c.log.Info().Str("event", "hosts_leaving").Strs("names", fx.Leaving).Send()
 	}
 	if fx.Reached > 0 {
-		c.reached(fx.Reached)
+		c.members(&membership.PlatformWord{Began: fx.Reached})
 	}
 	for _, call := range fx.Calls {
 		c.platform(call)
 	}
+	c.tellWatching()
 	c.status.Store(&controlStatus{Note: c.core.Number(), Rejected: c.core.Rejected(), Waiting: c.core.Waiting()})
 	fx.Reset()
 }
