Measure the replacement of all hosts under load, and mend what a hurried stop waits for

Cause: a hurried stop waited 2 s in the listener for handlers whose answers nobody would give; a starting host passed the balancer's check before any note was in force.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -58,6 +58,7 @@
 	refused atomic.Bool
 	// isolated fails the balancer's check for as long as it is set.
 	isolated atomic.Bool
+	ready    atomic.Pointer[func() bool]
 
 	mu      sync.Mutex
 	waiting map[uint64]chan engine.Answer
@@ -91,6 +92,22 @@
 // SetIsolated makes the balancer's check fail while the host is isolated.
 func (f *Front) SetIsolated(isolated bool) { f.isolated.Store(isolated) }
 
+// SetReady gives what the balancer's check asks besides; the check fails until then.
+func (f *Front) SetReady(ready func() bool) { f.ready.Store(&ready) }
+
+// Break closes every connection at once, as the end of the process does.
+func (f *Front) Break() { f.server.Break() }
+
+// Abandon answers every query in progress as unknown.
+func (f *Front) Abandon() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for key, ch := range f.waiting {
+		delete(f.waiting, key)
+		close(ch)
+	}
+}
+
 // Stop stops listening once the requests in progress have been answered.
 func (f *Front) Stop() { f.server.Close() }
 
@@ -129,6 +146,10 @@
 		c.String(http.StatusServiceUnavailable, "isolated\n")
 		return
 	}
+	if ready := f.ready.Load(); ready == nil || !(*ready)() {
+		c.String(http.StatusServiceUnavailable, "not ready\n")
+		return
+	}
 	c.String(http.StatusOK, "ok\n")
 }
 
@@ -179,7 +200,11 @@
 		f.mu.Unlock()
 		return engine.Answer{Code: result.QueueFull, Detail: "the host's ring of new queries is full"}
 	}
-	return <-ch
+	answer, ok := <-ch
+	if !ok {
+		return engine.Answer{Code: result.OutcomeUnknown, Detail: "the host ended"}
+	}
+	return answer
 }
 
 func write(c *app.RequestContext, a *engine.Answer) {
--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -79,6 +79,9 @@
 // Close stops listening and waits for requests in progress, for a bounded time.
 func (s *Server) Close() { s.group.Stop() }
 
+// Break closes every connection, as the end of the process does; Close must follow.
+func (s *Server) Break() { s.listener.breakAll() }
+
 func (s *Server) shutdown() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
--- a/internal/edge/httpd/listener.go
+++ b/internal/edge/httpd/listener.go
@@ -29,6 +29,9 @@
 	tracked := &conn{Conn: c, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closing {
+		_ = c.Close()
+	}
 	l.conns[tracked] = struct{}{}
 	return tracked, nil
 }
@@ -44,6 +47,16 @@
 	}
 }
 
+// breakAll closes every connection, as the end of the process does.
+func (l *listener) breakAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closing = true
+	for c := range l.conns {
+		_ = c.Conn.Close()
+	}
+}
+
 type conn struct {
 	net.Conn
 	listener *listener
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -176,6 +176,7 @@
 	}
 	n.queries.setDeliver(n.front.Deliver)
 	n.members.setIsolated(n.front.SetIsolated)
+	n.front.SetReady(func() bool { return n.control.status.Load().Note > 0 })
 	n.admin, err = admin.Start(n.settings.Listen.Admin, httpd.Limits{BodyBytes: adminBodyBytes}, func() any { return n.Status() })
 	return err
 }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -20,8 +20,13 @@
 	began := time.Now()
 	if n.front != nil && n.queries != nil {
 		n.log.Info().Str("event", "stop_began").Dur("balancer_lag", n.settings.Stop.BalancerLag).Send()
-		n.drain()
-		n.front.Stop()
+		if n.drain() {
+			n.front.Stop()
+		} else {
+			n.once.waiters.Abandon()
+			n.front.Abandon()
+			n.front.Stop()
+		}
 	}
 	if n.admin != nil {
 		n.admin.Stop()
@@ -35,7 +40,8 @@
 	n.log.Info().Str("event", "host_stopped").Dur("took", time.Since(began)).Send()
 }
 
-func (n *Node) drain() {
+// drain reports whether every request in progress has ended.
+func (n *Node) drain() bool {
 	limit := time.NewTimer(n.settings.Stop.Limit)
 	defer limit.Stop()
 	n.front.FailHealth()
@@ -46,12 +52,13 @@
 	if n.await("requests and handover", limit.C, func(s *engineStatus) bool {
 		return s.Draining && s.HandedOver && s.InProgress == 0
 	}) {
-		return
+		return true
 	}
 	n.queries.put(&engine.HandOver{Force: true})
 	last := time.NewTimer(handoverTimeout)
 	defer last.Stop()
 	n.awaitStatus(last.C, nil, func(s *engineStatus) bool { return s.HandedOver })
+	return false
 }
 
 func (n *Node) waitForBalancer(limit <-chan time.Time) {
@@ -95,7 +102,9 @@
 func (n *Node) Abort() {
 	n.stopOnce.Do(func() {
 		n.queries.inbox.Close()
+		n.front.Break()
 		n.once.waiters.Abandon()
+		n.front.Abandon()
 		n.front.Stop()
 		n.admin.Stop()
 		n.duties.Stop()
--- a/internal/standin/cold.go
+++ b/internal/standin/cold.go
@@ -154,6 +154,7 @@
 	mu     sync.Mutex
 	inner  net.Listener
 	conns  map[net.Conn]bool
+	peak   int
 	upAt   time.Time
 	closed bool
 }
@@ -239,6 +240,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[conn] = true
+	l.peak = max(l.peak, len(l.conns))
 	return &trackedConn{Conn: conn, listener: l}
 }
 
@@ -255,3 +257,10 @@
 	c.listener.mu.Unlock()
 	return c.Conn.Close()
 }
+
+// ConnectionPeak returns the most connections that were open at a time.
+func (t *Target) ConnectionPeak() int {
+	t.listener.mu.Lock()
+	defer t.listener.mu.Unlock()
+	return t.listener.peak
+}
