--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -101,6 +101,7 @@
 // waits gets no answer of the engine. It is for tests and experiments.
 func (n *Node) Abort() {
 	n.stopOnce.Do(func() {
+		n.members.close()
 		n.queries.inbox.Close()
 		n.front.Break()
 		n.once.waiters.Abandon()
