--- a/internal/standin/cold.go
+++ b/internal/standin/cold.go
@@ -267,3 +267,10 @@
 	c.listener.mu.Unlock()
 	return c.Conn.Close()
 }
+
+// ConnectionPeak returns the most connections that were open at a time.
+func (t *Target) ConnectionPeak() int {
+	t.listener.mu.Lock()
+	defer t.listener.mu.Unlock()
+	return t.listener.peak
+}
