--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -30,12 +30,12 @@
 	MaxQueries int
 	// Hedge sends a second attempt to another replica when the first is late.
 	Hedge bool
-	// MaxGap is the time between steps above which the host woke late; 0 does not look.
-	MaxGap time.Duration
 	// Targets selects the baselines of limits, warm-up and selection.
 	Targets target.Options
 	// Queue bounds the admitted requests that wait; 0 admits without a queue.
 	Queue int
+	// MaxGap is the time between steps above which the host woke late; 0 does not look.
+	MaxGap time.Duration
 	// Once bounds the requests that run at most once.
 	Once once.Config
 }
@@ -51,7 +51,6 @@
 	Resends        uint64 `json:"resends"`
 	LateReplies    uint64 `json:"late_replies"`
 	WrongSnapshots uint64 `json:"wrong_snapshots"`
-	LateWakes      uint64 `json:"late_wakes"`
 	// UnknownReplies match no open attempt: duplicates and crossed replies.
 	UnknownReplies    uint64 `json:"unknown_replies"`
 	TruncatedReplies  uint64 `json:"truncated_replies"`
@@ -60,6 +59,7 @@
 	SnapshotsDenied   uint64 `json:"snapshots_denied"`
 	ShardsLost        uint64 `json:"shards_lost"`
 	Restarts          uint64 `json:"restarts"`
+	LateWakes         uint64 `json:"late_wakes"`
 }
 
 // Engine is the data plane's core.
@@ -136,6 +136,8 @@
 		e.draining = true
 	case *PeerFacts:
 		e.peerFacts(ev)
+	case *HostList:
+		e.hostList(ev)
 	case *Isolation:
 		e.isolation(now, ev, fx)
 	case *Word:
--- a/internal/node/meshing.go
+++ b/internal/node/meshing.go
@@ -150,6 +150,9 @@
 		for _, ev := range batch[:n] {
 			m.core.Step(now, ev, &fx)
 			m.carryOut(&fx)
+			if heard, ok := ev.(*membership.Heard); ok {
+				m.control(&control.PeerHeard{Number: heard.Heartbeat.Note})
+			}
 		}
 		m.core.Advance(now, &fx)
 		m.carryOut(&fx)
@@ -167,6 +170,9 @@
 	if fx.Word != nil {
 		m.queries(&engine.Word{Since: fx.Word.Since})
 	}
+	if fx.AskPlatform {
+		m.control(&control.AskPlatform{})
+	}
 	if fx.Isolation != nil {
 		m.queries(fx.Isolation)
 		(*m.isolated.Load())(fx.Isolation.Isolated)
@@ -187,6 +193,14 @@
 	}
 }
 
+// peers returns what calls of other hosts go over.
+func (m *members) peers() Peers {
+	if m.mesh == nil {
+		return noPeers{}
+	}
+	return m.mesh
+}
+
 // close ends the mesh, which also serves a host whose duty never started.
 func (m *members) close() {
 	if m.mesh != nil {
@@ -218,11 +232,3 @@
 	s := m.mesh.Stats()
 	return &s
 }
-
-// peers returns what carries calls to other hosts.
-func (m *members) peers() Peers {
-	if m.mesh == nil {
-		return noPeers{}
-	}
-	return m.mesh
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,11 +7,12 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
-	"pollentack.example/pollentack/internal/core/control"
 	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/membership"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/admin"
 	"pollentack.example/pollentack/internal/edge/await"
@@ -69,7 +70,10 @@
 // Start runs a host until Stop. Listeners open last, so that no request meets a host
 // whose duties do not run yet.
 func Start(s *settings.Settings, o Options) (*Node, error) {
-	n := &Node{settings: s, options: o, log: o.Log, tracer: o.Tracer, clock: wallclock.New(), failed: make(chan error, maxDuties), hurry: make(chan struct{})}
+	n := &Node{
+		settings: s, options: o, log: o.Log, tracer: o.Tracer, clock: wallclock.New(),
+		failed: make(chan error, maxDuties), hurry: make(chan struct{}),
+	}
 	if err := n.start(); err != nil {
 		n.Stop()
 		return nil, fmt.Errorf("start host %q: %w", s.Host.Name, err)
@@ -122,8 +126,8 @@
 	if n.dispatch, err = newDispatch(n.settings.Limits.Connections, client, n.queries.put); err != nil {
 		return err
 	}
-	n.queries.tell = n.members.tell
 	n.dispatch.peers = n.once
+	n.queries.tell = n.members.tell
 	n.queries.dispatch = n.dispatch.put
 	n.queries.connections = client.Connections
 	n.health = newHealth(client.Health, n.queries.put)
@@ -137,18 +141,24 @@
 }
 
 func (n *Node) startControl() error {
-	n.control = newController(n.clock, n.log, n.inForce)
+	n.control = newController(n.settings, n.clock, n.log, n.inForce)
 	n.control.peers = n.members.inForce
-	if err := n.duties.Start(n.control.duty()); err != nil {
-		return err
-	}
-	p := n.settings.Platform
-	reader, err := platform.NewReader(p.Address, p.Poll, func(ev control.Event) bool { return n.control.put(ev) })
+	n.control.reached = func(began time.Duration) { n.members.put(&membership.PlatformWord{Began: began}) }
+	reader, err := platform.NewReader(n.settings.Platform.Address, n.clock, n.control.put)
 	if err != nil {
 		return err
 	}
 	n.reader = reader
-	return n.duties.Start(duty.Duty{Name: "platform", Run: reader.Run, Stop: reader.Stop})
+	n.control.platform = reader.Put
+	if err := n.duties.Start(n.control.duty()); err != nil {
+		return err
+	}
+	for _, d := range reader.Duties() {
+		if err := n.duties.Start(d); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // inForce hands a state that is in force to the duties that use it.
--- a/internal/node/queries.go
+++ b/internal/node/queries.go
@@ -55,9 +55,6 @@
 	connections func(address string) int
 	deliver     atomic.Pointer[func(*engine.Answer)]
 
-	// tell takes effects that concern the peers.
-	tell func(*engine.Effects)
-
 	deliverOnce func(uint64, engine.OnceAnswer)
 	// unsent are replies for work that the dispatch ring refused.
 	unsent []engine.Event
@@ -67,6 +64,8 @@
 	counted   atomic.Pointer[engineStatus]
 	// changed holds at most one token, put after each change of counted.
 	changed chan struct{}
+	// tell takes effects that concern the peers.
+	tell func(*engine.Effects)
 }
 
 // engineStatus is what the duty last published of its engine.
@@ -93,14 +92,14 @@
 			Seed:       uint64(s.Policy.Seed),
 			MaxQueries: s.Limits.Queries,
 			Hedge:      s.Policy.Hedge,
-			MaxGap:     maxStepGap,
 			Queue:      s.Limits.Queue,
 			Targets:    targetOptions(s),
+			MaxGap:     maxStepGap,
 			Once:       *tickets,
 		}),
 	}
-	q.tell = func(*engine.Effects) {}
 	q.connections = func(string) int { return 0 }
+	q.tell = func(*engine.Effects) {}
 	q.setDeliver(func(*engine.Answer) {})
 	q.counted.Store(&engineStatus{})
 	return q
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -10,21 +10,22 @@
 
 // Status is what a host says of itself to operators.
 type Status struct {
-	Host          string                  `json:"host"`
-	Zone          string                  `json:"availability_zone"`
-	Note          uint64                  `json:"note"`
-	Rejected      []control.Rejection     `json:"rejected,omitempty"`
-	InProgress    int                     `json:"in_progress"`
-	Draining      bool                    `json:"draining"`
-	Counters      engine.Counters         `json:"counters"`
-	Rings         []ring.Stats            `json:"rings"`
-	Isolated      bool                    `json:"isolated"`
-	Peers         []membership.PeerStatus `json:"peers,omitempty"`
-	Mesh          *mesh.Stats             `json:"mesh,omitempty"`
-	PlatformCalls uint64                  `json:"platform_calls"`
-
-	Admission engine.AdmissionCounters `json:"admission"`
-	Targets   []TargetStatus           `json:"targets,omitempty"`
+	Host          string                   `json:"host"`
+	Zone          string                   `json:"availability_zone"`
+	Note          uint64                   `json:"note"`
+	Rejected      []control.Rejection      `json:"rejected,omitempty"`
+	Waiting       []uint64                 `json:"waiting,omitempty"`
+	InProgress    int                      `json:"in_progress"`
+	Draining      bool                     `json:"draining"`
+	Counters      engine.Counters          `json:"counters"`
+	Rings         []ring.Stats             `json:"rings"`
+	Isolated      bool                     `json:"isolated"`
+	Peers         []membership.PeerStatus  `json:"peers,omitempty"`
+	Mesh          *mesh.Stats              `json:"mesh,omitempty"`
+	PlatformCalls uint64                   `json:"platform_calls"`
+	PlatformFails uint64                   `json:"platform_fails"`
+	Admission     engine.AdmissionCounters `json:"admission"`
+	Targets       []TargetStatus           `json:"targets,omitempty"`
 }
 
 // Status returns the host's status at this moment.
@@ -40,11 +41,13 @@
 		InProgress:    q.InProgress,
 		Draining:      q.Draining,
 		Counters:      q.Counters,
-		Rings:         []ring.Stats{n.queries.inbox.Stats(), n.dispatch.inbox.Stats(), n.control.inbox.Stats(), n.members.inbox.Stats()},
+		Rings:         append([]ring.Stats{n.queries.inbox.Stats(), n.dispatch.inbox.Stats(), n.control.inbox.Stats(), n.members.inbox.Stats()}, n.reader.Rings()...),
 		Isolated:      members.Isolated,
 		Peers:         members.Peers,
 		Mesh:          n.members.meshStats(),
+		Waiting:       c.Waiting,
 		PlatformCalls: n.reader.Calls(),
+		PlatformFails: n.reader.Failed(),
 		Admission:     q.Admission,
 		Targets:       q.Targets,
 	}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -100,5 +100,6 @@
 		n.front.Stop()
 		n.admin.Stop()
 		n.duties.Stop()
+		n.members.close()
 	})
 }
