--- a/internal/core/control/control.go
+++ b/internal/core/control/control.go
@@ -32,9 +32,9 @@
 	// waiting holds notes by number until their predecessor is in force.
 	waiting  map[uint64]*release.Note
 	rejected []Rejection
-	recent   []*release.Note
 	leaving  map[string]bool
 	watch    *watch.Watch
+	recent   []*release.Note
 }
 
 // New returns a Control with nothing in force.
@@ -64,9 +64,6 @@
 // NextWake returns when Advance must next be called.
 func (c *Control) NextWake(now clock.Instant) time.Duration { return c.watch.NextWake(now) }
 
-// Watching reports whether this host watches the platform, and its last call succeeded.
-func (c *Control) Watching(now clock.Instant) bool { return c.watch.Watching(now) }
-
 // Number returns the number of the note in force, 0 before the first.
 func (c *Control) Number() uint64 {
 	if c.state == nil {
--- a/internal/node/meshing.go
+++ b/internal/node/meshing.go
@@ -150,6 +150,9 @@
 		for _, ev := range batch[:n] {
 			m.core.Step(now, ev, &fx)
 			m.carryOut(&fx)
+			if heard, ok := ev.(*membership.Heard); ok {
+				m.control(&control.PeerHeard{Number: heard.Heartbeat.Note})
+			}
 		}
 		m.core.Advance(now, &fx)
 		m.carryOut(&fx)
@@ -167,9 +170,6 @@
 	if fx.Word != nil {
 		m.queries(&engine.Word{Since: fx.Word.Since})
 	}
-	if fx.PeerHeard != nil {
-		m.control(&control.PeerHeard{Number: *fx.PeerHeard})
-	}
 	if fx.AskPlatform {
 		m.control(&control.AskPlatform{})
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,10 +7,12 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/membership"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/admin"
 	"pollentack.example/pollentack/internal/edge/await"
@@ -141,7 +143,7 @@
 func (n *Node) startControl() error {
 	n.control = newController(n.settings, n.clock, n.log, n.inForce)
 	n.control.peers = n.members.inForce
-	n.control.members = n.members.put
+	n.control.reached = func(began time.Duration) { n.members.put(&membership.PlatformWord{Began: began}) }
 	reader, err := platform.NewReader(n.settings.Platform.Address, n.clock, n.control.put)
 	if err != nil {
 		return err
