Limit repeated log lines; drain, metrics by host, what differs in status

A fault that repeats could flood the log, the metrics of several hosts of one process shadowed each other, status told of differing notes only, and an operator could stop a host by a signal alone.

The logger's writer lets 20 lines of one event pass in 10 s and counts the rest in log_limited, so no call site needs to know of it (a sampler at each call was ruled out: it counts levels, not events). Each host is an entry of expvar's map hosts. status names every aspect in which hosts differ with the hosts on each side, and the faults of refused notes. POST /v1/drain begins the graceful shutdown.

--- a/cmd/pollentack/load.go
+++ b/cmd/pollentack/load.go
@@ -22,7 +22,7 @@
 // Run drives the hosts with an open loop; exit code 1 means that a query got no answer
 // at all. Refusals are counted by their codes and do not fail the run.
 func (cmd *loadCmd) Run(stdout io.Writer) error {
-	c, err := load.LoadConfig(cmd.Settings)
+	c, err := load.ReadConfig(cmd.Settings)
 	if err != nil {
 		return usage(err)
 	}
--- a/cmd/pollentack/serve.go
+++ b/cmd/pollentack/serve.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"pollentack.example/pollentack/internal/duty"
+	"pollentack.example/pollentack/internal/edge/logs"
 	"pollentack.example/pollentack/internal/edge/trace"
 	"pollentack.example/pollentack/internal/node"
 	"pollentack.example/pollentack/internal/settings"
@@ -19,7 +20,7 @@
 	Settings string `arg:"" help:"Settings file (INI)." type:"existingfile"`
 }
 
-// Run serves until SIGINT or SIGTERM, then shuts down gracefully; a second signal ends
+// Run serves until SIGINT, SIGTERM or an operator's drain, then shuts down gracefully; a second signal ends
 // the waiting.
 func (cmd *serveCmd) Run() error {
 	s, err := settings.Load(cmd.Settings)
@@ -39,6 +40,8 @@
 	select {
 	case sig := <-signals:
 		log.Info().Str("event", "stop_requested").Str("signal", sig.String()).Send()
+	case <-n.DrainRequested():
+		log.Info().Str("event", "stop_requested").Str("operator", "drain").Send()
 	case err = <-n.Failed():
 	}
 	return errors.Join(err, stopNode(n, signals, &log), tracer.Close())
@@ -68,11 +71,7 @@
 }
 
 func newLogger(s *settings.Settings) zerolog.Logger {
-	level, err := zerolog.ParseLevel(s.Log.Level)
-	if err != nil {
-		level = zerolog.InfoLevel
-	}
-	return zerolog.New(os.Stderr).Level(level).With().Timestamp().
+	return logs.New(os.Stderr, s.Log.Level).With().
 		Str("host", s.Host.Name).Str("availability_zone", s.Host.Zone).Logger()
 }
 
--- a/cmd/pollentack/status.go
+++ b/cmd/pollentack/status.go
@@ -1,9 +1,11 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
+	"io"
 	"os"
+	"slices"
+	"strings"
 
 	"pollentack.example/pollentack/internal/edge/admin"
 	"pollentack.example/pollentack/internal/edge/callerclient"
@@ -16,7 +18,7 @@
 }
 
 // Run asks each host; exit code 1 means that one did not answer or that hosts differ.
-func (cmd *statusCmd) Run() error {
+func (cmd *statusCmd) Run(stdout io.Writer) error {
 	client, err := callerclient.New()
 	if err != nil {
 		return err
@@ -34,34 +36,105 @@
 		statuses = append(statuses, s)
 	}
 	if cmd.JSON {
-		if err := json.NewEncoder(os.Stdout).Encode(statuses); err != nil {
-			return fmt.Errorf("print status: %w", err)
+		if err := printJSON(stdout, statuses); err != nil {
+			return err
 		}
 	} else {
-		printStatuses(statuses)
+		printStatuses(stdout, statuses)
 	}
-	if failed || differ(statuses) {
+	if failed || len(differences(statuses)) > 0 {
 		return errFailed
 	}
 	return nil
 }
 
-func differ(statuses []node.Status) bool {
-	for i := 1; i < len(statuses); i++ {
-		if statuses[i].Note != statuses[0].Note {
-			return true
-		}
+func printStatuses(w io.Writer, statuses []node.Status) {
+	const row = "%-14s %-16s %6v %9v %-10s %6v %9v %9v %12v\n"
+	fmt.Fprintf(w, row, "HOST", "ZONE", "NOTE", "REJECTED", "STATE", "PEERS", "QUERIES", "REFUSALS", "IN PROGRESS")
+	for i := range statuses {
+		s := &statuses[i]
+		fmt.Fprintf(w, row, s.Host, s.Zone, s.Note, len(s.Rejected), stateOf(s), len(s.Peers), s.Counters.Queries, s.Counters.Refusals, s.InProgress)
 	}
-	return false
+	for _, line := range differences(statuses) {
+		fmt.Fprintf(w, "hosts differ in %s\n", line)
+	}
+	printRejected(w, statuses)
 }
 
-func printStatuses(statuses []node.Status) {
-	fmt.Printf("%-12s %-14s %6s %9s %8s %9s %s\n", "HOST", "ZONE", "NOTE", "REJECTED", "QUERIES", "REFUSALS", "IN PROGRESS")
+// printRejected prints each refused note once, with what is wrong with it.
+func printRejected(w io.Writer, statuses []node.Status) {
+	seen := map[uint64]bool{}
 	for i := range statuses {
-		s := &statuses[i]
-		fmt.Printf("%-12s %-14s %6d %9d %8d %9d %d\n", s.Host, s.Zone, s.Note, len(s.Rejected), s.Counters.Queries, s.Counters.Refusals, s.InProgress)
+		for _, r := range statuses[i].Rejected {
+			if seen[r.Number] {
+				continue
+			}
+			seen[r.Number] = true
+			for _, f := range r.Faults {
+				fmt.Fprintf(w, "note %d refused: line %d: [%s] %s: %s\n", r.Number, f.Line, f.Item, f.Key, f.Reason)
+			}
+		}
+	}
+}
+
+// stateOf tells in a word whether the host takes work.
+func stateOf(s *node.Status) string {
+	switch {
+	case s.Draining:
+		return "draining"
+	case s.Isolated:
+		return "isolated"
+	case s.Note == 0:
+		return "not ready"
+	}
+	return "serving"
+}
+
+// aspect is what hosts should have in common.
+type aspect struct {
+	name  string
+	value func(*node.Status) string
+}
+
+var aspects = []aspect{
+	{"the note in force", func(s *node.Status) string { return fmt.Sprint(s.Note) }},
+	{"notes refused", func(s *node.Status) string { return fmt.Sprint(rejectedNumbers(s)) }},
+	{"notes that wait for their predecessor", func(s *node.Status) string { return fmt.Sprint(s.Waiting) }},
+	{"state", stateOf},
+	{"the number of peers", func(s *node.Status) string { return fmt.Sprint(len(s.Peers)) }},
+}
+
+func rejectedNumbers(s *node.Status) []uint64 {
+	numbers := make([]uint64, len(s.Rejected))
+	for i := range s.Rejected {
+		numbers[i] = s.Rejected[i].Number
 	}
-	if differ(statuses) {
-		fmt.Println("hosts differ: not all have the same note in force")
+	return numbers
+}
+
+// differences returns a line for each aspect in which not all hosts agree: its values
+// and the hosts that have each.
+func differences(statuses []node.Status) []string {
+	var lines []string
+	for _, a := range aspects {
+		hosts := map[string][]string{}
+		var values []string
+		for i := range statuses {
+			v := a.value(&statuses[i])
+			if hosts[v] == nil {
+				values = append(values, v)
+			}
+			hosts[v] = append(hosts[v], statuses[i].Host)
+		}
+		if len(values) < 2 {
+			continue
+		}
+		slices.Sort(values)
+		parts := make([]string, len(values))
+		for i, v := range values {
+			parts[i] = fmt.Sprintf("%s on %s", v, strings.Join(hosts[v], ", "))
+		}
+		lines = append(lines, a.name+": "+strings.Join(parts, "; "))
 	}
+	return lines
 }
--- a/internal/edge/admin/admin.go
+++ b/internal/edge/admin/admin.go
@@ -1,4 +1,4 @@
-// Package admin is the listener for operators: status and metrics.
+// Package admin is the listener for operators: status, metrics and drain.
 package admin
 
 import (
@@ -16,17 +16,20 @@
 const (
 	PathStatus  = "/v1/status"
 	PathMetrics = "/debug/vars"
+	PathDrain   = "/v1/drain"
 )
 
 // Admin is the listener for operators.
 type Admin struct {
 	status func() any
+	drain  func()
 	server *httpd.Server
 }
 
-// Start listens on address; status gives what PathStatus returns as JSON.
-func Start(address string, limits httpd.Limits, status func() any) (*Admin, error) {
-	a := &Admin{status: status}
+// Start listens on address; status gives what PathStatus returns as JSON, and drain
+// begins the graceful shutdown without waiting for it.
+func Start(address string, limits httpd.Limits, status func() any, drain func()) (*Admin, error) {
+	a := &Admin{status: status, drain: drain}
 	s, err := httpd.Start(address, limits, a.routes)
 	if err != nil {
 		return nil, err
@@ -44,11 +47,15 @@
 func (a *Admin) routes(h *server.Hertz) {
 	h.GET(PathStatus, func(_ context.Context, c *app.RequestContext) { c.JSON(http.StatusOK, a.status()) })
 	h.GET(PathMetrics, a.metrics)
+	h.POST(PathDrain, func(_ context.Context, c *app.RequestContext) {
+		a.drain()
+		c.Status(http.StatusAccepted)
+	})
 }
 
-// metrics writes the process's expvar variables and the host's status under "host".
+// metrics writes the process's expvar variables; each host is an entry under "hosts".
 func (a *Admin) metrics(_ context.Context, c *app.RequestContext) {
-	vars := map[string]any{"host": a.status()}
+	vars := map[string]any{}
 	expvar.Do(func(kv expvar.KeyValue) { vars[kv.Key] = rawJSON(kv.Value.String()) })
 	c.JSON(http.StatusOK, vars)
 }
--- /dev/null
+++ b/internal/edge/logs/logs_test.go
@@ -0,0 +1,34 @@
+package logs
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// TestRepeatedEventIsLimitedAndCounted repeats one event: it is cut at its limit and what
+// was left out is told later, while another event is written all the time.
+func TestRepeatedEventIsLimitedAndCounted(t *testing.T) {
+	var out bytes.Buffer
+	now := time.Unix(0, 0)
+	log := zerolog.New(&limiter{out: &out, now: func() time.Time { return now }, events: map[string]*count{}})
+	for range 1000 {
+		log.Warn().Str("event", "link_refused").Send()
+	}
+	log.Warn().Str("event", "note_rejected").Send()
+	if got := strings.Count(out.String(), "link_refused"); got != linesPerWindow {
+		t.Errorf("%d lines written, want %d", got, linesPerWindow)
+	}
+	if !strings.Contains(out.String(), "note_rejected") {
+		t.Error("another event was left out too")
+	}
+	out.Reset()
+	now = now.Add(window)
+	log.Warn().Str("event", "link_refused").Send()
+	if want := `"event":"log_limited","of":"link_refused","left_out":980`; !strings.Contains(out.String(), want) {
+		t.Errorf("log is\n%s\nwant %s", out.String(), want)
+	}
+}
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -18,8 +18,8 @@
 	maxTimeout     = time.Minute
 )
 
-// LoadConfig reads and checks the INI file of a run.
-func LoadConfig(path string) (*Config, error) {
+// ReadConfig reads and checks the INI file of a run.
+func ReadConfig(path string) (*Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("read load settings: %w", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,8 @@
 	tickets *front.Once
 
 	stopOnce  sync.Once
+	drainOnce sync.Once
+	drainCh   chan struct{}
 	hurryOnce sync.Once
 	hurry     chan struct{}
 	failed    chan error
@@ -70,12 +72,13 @@
 func Start(s *settings.Settings, o Options) (*Node, error) {
 	n := &Node{
 		settings: s, options: o, log: o.Log, tracer: o.Tracer, clock: wallclock.New(),
-		failed: make(chan error, maxDuties), hurry: make(chan struct{}),
+		failed: make(chan error, maxDuties), hurry: make(chan struct{}), drainCh: make(chan struct{}),
 	}
 	if err := n.start(); err != nil {
 		n.Stop()
 		return nil, fmt.Errorf("start host %q: %w", s.Host.Name, err)
 	}
+	n.publishMetrics()
 	n.log.Info().Str("event", "host_started").Str("front", n.FrontAddress()).Str("admin", n.AdminAddress()).Send()
 	return n, nil
 }
@@ -176,7 +179,7 @@
 	}
 	n.queries.setDeliver(n.front.Deliver)
 	n.members.setIsolated(n.front.SetIsolated)
-	n.admin, err = admin.Start(n.settings.Listen.Admin, httpd.Limits{BodyBytes: adminBodyBytes}, func() any { return n.Status() })
+	n.admin, err = admin.Start(n.settings.Listen.Admin, httpd.Limits{BodyBytes: adminBodyBytes}, func() any { return n.Status() }, n.requestDrain)
 	return err
 }
 
@@ -188,6 +191,11 @@
 // Failed yields the error of a duty that panicked; the process must then stop.
 func (n *Node) Failed() <-chan error { return n.failed }
 
+// DrainRequested is closed once an operator has asked for the graceful shutdown.
+func (n *Node) DrainRequested() <-chan struct{} { return n.drainCh }
+
+func (n *Node) requestDrain() { n.drainOnce.Do(func() { close(n.drainCh) }) }
+
 // FrontAddress returns where callers reach the host.
 func (n *Node) FrontAddress() string { return n.front.Address() }
 
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -18,6 +18,7 @@
 
 func (n *Node) stop() {
 	began := time.Now()
+	defer n.unpublishMetrics()
 	if n.front != nil && n.queries != nil {
 		n.log.Info().Str("event", "stop_began").Dur("balancer_lag", n.settings.Stop.BalancerLag).Send()
 		n.drain()
@@ -94,6 +95,7 @@
 // waits gets no answer of the engine. It is for tests and experiments.
 func (n *Node) Abort() {
 	n.stopOnce.Do(func() {
+		defer n.unpublishMetrics()
 		n.members.close()
 		n.queries.inbox.Close()
 		n.once.waiters.Abandon()
