--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -108,7 +108,7 @@
 	const producers, each = 4, 5000
 	r := ring.New[[2]int]("test", 16)
 	var accepted [producers]int
-	var waits []func()
+	waits := make([]func(), 0, producers)
 	for p := range producers {
 		waits = append(waits, start(t, func() {
 			for i := range each {
