Keep cancellations and health checks out of the requests' connections

Cause: TestConnectionsStayWithinThePublishedLimit failed in 1 of 6 runs with 4 open connections of a share of 3: two cancellations took what was free at that moment, and the next request needed a fourth. Change: such calls have only the part of the share above the limit's ceiling, and one at a time before the first request.

--- a/internal/core/engine/cold.go
+++ b/internal/core/engine/cold.go
@@ -47,7 +47,7 @@
 // guard returns what bounds a request that goes to the target now.
 func (e *Engine) guard(id target.ID) Guard {
 	grant := e.targets.Grant(id)
-	g := Guard{Incarnation: grant.Incarnation, Check: grant.Check, Quota: e.targets.Entry(id).Quota}
+	g := Guard{Incarnation: grant.Incarnation, Check: grant.Check, Spare: e.targets.Entry(id).Spare()}
 	if grant.Turn != nil {
 		g.NotAfter = grant.Turn.Ends
 	}
--- a/internal/core/engine/effect.go
+++ b/internal/core/engine/effect.go
@@ -31,8 +31,9 @@
 	// Check asks to compare it with the health endpoint's before the request goes out on
 	// a new connection.
 	Check bool
-	// Quota is this host's share of the target's connections.
-	Quota int
+	// Spare is the part of this host's share of the target's connections that requests
+	// never use, left for cancellations and health checks.
+	Spare int
 }
 
 // Cancel asks a target to give up an attempt that has lost.
--- a/internal/core/target/table.go
+++ b/internal/core/target/table.go
@@ -50,6 +50,9 @@
 // Usable reports whether the target may take new work.
 func (e *Entry) Usable() bool { return !e.Leaving && !e.ZoneOut }
 
+// Spare is the part of the connection quota that requests never use.
+func (e *Entry) Spare() int { return e.Quota - e.Limiter.ceiling }
+
 // Options are what a host's settings say to its table.
 type Options struct {
 	// Host is this host's name in the published list.
--- a/internal/edge/targetclient/client.go
+++ b/internal/edge/targetclient/client.go
@@ -69,7 +69,7 @@
 func (c *Client) Do(s *engine.Send) *engine.Reply {
 	begin := c.clock.Now().Mono
 	left := s.Deadline - begin
-	dials := c.conns.acquire(s.Spec.Address, s.Quota)
+	dials := c.conns.acquire(s.Spec.Address, s.Spare)
 	defer c.conns.release(s.Spec.Address)
 	reply := &engine.Reply{Attempt: s.Attempt, Target: s.Target, Outcome: engine.Unsent}
 	if left <= 0 {
@@ -111,7 +111,7 @@
 	if !c.conns.acquireSpare(x.Spec.Address) {
 		return
 	}
-	defer c.conns.release(x.Spec.Address)
+	defer c.conns.releaseSpare(x.Spec.Address)
 	body, err := json.Marshal(c.ref(x.Attempt))
 	if err != nil {
 		return
--- a/internal/edge/targetclient/connections.go
+++ b/internal/edge/targetclient/connections.go
@@ -19,9 +19,12 @@
 
 // usage is the part of one target's address.
 type usage struct {
-	open  int
-	busy  int
-	quota int
+	open int
+	busy int
+	// spare is the number that calls which may be left out have, of those allowed.
+	spare   int
+	allowed int
+	known   bool
 }
 
 func newConnections() *connections { return &connections{targets: map[string]*usage{}} }
@@ -37,29 +40,43 @@
 
 // acquire counts one busy connection and reports whether a new one must be made for it.
 // The engine's limits keep the number within the quota.
-func (c *connections) acquire(address string, quota int) (dials bool) {
+func (c *connections) acquire(address string, spare int) (dials bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := c.of(address)
-	u.quota = quota
+	u.known = true
+	u.allowed = spare
 	u.busy++
 	return u.busy > u.open
 }
 
 // acquireSpare counts one busy connection for a call that may be left out, where the
-// quota has one left beside those of requests. Before the first request the quota is not
-// known, and one call at a time is within any.
+// part of the quota that requests never use has one. Before the first request the quota
+// is not known, and one call at a time is within any.
 func (c *connections) acquireSpare(address string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := c.of(address)
-	if u.quota == 1 || u.busy >= max(1, u.quota) {
+	allowed := u.allowed
+	if !u.known {
+		allowed = 1
+	}
+	if u.spare >= allowed {
 		return false
 	}
+	u.spare++
 	u.busy++
 	return true
 }
 
+func (c *connections) releaseSpare(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := c.of(address)
+	u.spare--
+	u.busy--
+}
+
 func (c *connections) release(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/edge/targetclient/health.go
+++ b/internal/edge/targetclient/health.go
@@ -22,7 +22,7 @@
 	if !c.conns.acquireSpare(spec.Address) {
 		return h
 	}
-	defer c.conns.release(spec.Address)
+	defer c.conns.releaseSpare(spec.Address)
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
--- a/internal/edge/targetclient/run.go
+++ b/internal/edge/targetclient/run.go
@@ -24,7 +24,7 @@
 func (c *Client) Run(s *engine.RunSend) *engine.RunReply {
 	begin := c.clock.Now().Mono
 	left := s.Deadline - begin
-	dials := c.conns.acquire(s.Spec.Address, s.Quota)
+	dials := c.conns.acquire(s.Spec.Address, s.Spare)
 	defer c.conns.release(s.Spec.Address)
 	reply := &engine.RunReply{Run: s.Run, Try: s.Try, Target: s.Target, Outcome: engine.Unsent}
 	if left <= 0 {
