--- a/cmd/pollentack/main.go
+++ b/cmd/pollentack/main.go
@@ -31,6 +31,8 @@
 	Once       onceCmd       `cmd:"" help:"Send a request that runs at most once, or learn its outcome."`
 	Load       loadCmd       `cmd:"" help:"Drive hosts with an open loop of queries and print a summary."`
 	Status     statusCmd     `cmd:"" help:"Show what hosts have in force and what differs between them."`
+	Drain      drainCmd      `cmd:"" help:"Ask a host to shut down gracefully."`
+	Publish    publishCmd    `cmd:"" help:"Publish a note on a stand-in platform."`
 	Settings   settingsCmd   `cmd:"" help:"Work with settings files."`
 	Note       noteCmd       `cmd:"" help:"Work with release notes, offline."`
 	Experiment experimentCmd `cmd:"" help:"Run a measurement with its baseline and its bound."`
--- a/internal/edge/callerclient/client.go
+++ b/internal/edge/callerclient/client.go
@@ -70,6 +70,12 @@
 	return nil
 }
 
+// Post sends body to a path of a host's operator listener, or of a stand-in.
+func (c *Client) Post(address, path string, body []byte) error {
+	_, err := c.call("POST", "http://"+address+path, "", body)
+	return err
+}
+
 func (c *Client) call(method, url, key string, body []byte) ([]byte, error) {
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
