Hedge stragglers at once: a P95 that stragglers do not spoil, and a second hedge sooner

Cause, from the attempts of the slow queries: a group's estimate began at the largest of 32 samples, so one straggler there put its hedges at 250 ms for hundreds of queries. Ruled out by counts: no room at the other replica, its pressure, the bound of hedges per query (0 each), an empty budget (18 of 11,385).

--- a/internal/core/engine/hedge.go
+++ b/internal/core/engine/hedge.go
@@ -19,10 +19,12 @@
 	minHedges  = 2
 )
 
-// hedgeDelay is how long an attempt at the group is awaited before a hedge: the
-// group's P95, and up to twice that as the budget runs out, so that what is left goes
-// to the latest. It returns false where nothing is known yet.
-func (e *Engine) hedgeDelay(q *query.Query, g *query.Group) (time.Duration, bool) {
+// hedgeDelay is how long an attempt at the group is awaited before a hedge. The first
+// is awaited for the group's P95, and up to twice that as the budget runs out: those
+// that are merely slow end by themselves, and the tokens left go to stragglers. Where a
+// hedge is late too, the next comes after the P95. It returns false where nothing is
+// known yet.
+func (e *Engine) hedgeDelay(q *query.Query, g *query.Group, attempts int) (time.Duration, bool) {
 	p95, ok := g.Latency.Value()
 	if !ok {
 		p95, ok = q.Service.Latency.Value()
@@ -30,19 +32,25 @@
 	if !ok {
 		return 0, false
 	}
+	if attempts > 1 {
+		return p95, true
+	}
 	return p95 + time.Duration(float64(p95)*(1-q.Service.Budget.Fill())), true
 }
 
-// armSweep arms the first look at the query's late shards.
+// armSweep arms the first look at the query's late shards, for when the first shard of
+// the group with the least delay may be late.
 func (e *Engine) armSweep(now clock.Instant, q *query.Query) {
 	if !e.cfg.Hedge || !q.Service.Budget.Enabled() {
 		return
 	}
-	pause, ok := q.Service.Latency.Value()
-	if !ok {
-		return
+	least := q.Deadline
+	for i := range q.Plan.Groups {
+		if delay, ok := e.hedgeDelay(q, &q.Plan.Groups[i], 1); ok {
+			least = min(least, delay)
+		}
 	}
-	e.armSweepAt(now.Mono+max(pause, minSweepPause), q)
+	e.armSweepAt(now.Mono+max(least, minSweepPause), q)
 }
 
 func (e *Engine) armSweepAt(due time.Duration, q *query.Query) {
@@ -96,7 +104,7 @@
 		return 0, false
 	}
 	attempts := slot.Attempts()
-	delay, ok := e.hedgeDelay(q, &q.Plan.Groups[shard])
+	delay, ok := e.hedgeDelay(q, &q.Plan.Groups[shard], len(attempts))
 	return attempts[len(attempts)-1].Sent + delay, ok
 }
 
@@ -104,7 +112,7 @@
 // look at the shard again.
 func (e *Engine) help(now clock.Instant, q *query.Query, shard int32, fx *Effects) time.Duration {
 	slot := &q.Slots[shard]
-	delay, _ := e.hedgeDelay(q, &q.Plan.Groups[shard])
+	delay, _ := e.hedgeDelay(q, &q.Plan.Groups[shard], len(slot.Attempts())+1)
 	why := hedge
 	if slot.Open() == 0 {
 		why = retry
--- a/internal/core/quantile/quantile.go
+++ b/internal/core/quantile/quantile.go
@@ -9,8 +9,11 @@
 const (
 	// gain is the relative step of a settled estimate.
 	gain = 0.05
-	// warmSamples is how many samples an estimate needs before it is trusted.
-	warmSamples = 32
+	// warmSamples is how many samples an estimate needs before it is trusted, and
+	// warmTop how many of them are kept: the least of these is about their P95, and
+	// one or two stragglers among them do not show in it.
+	warmSamples = 48
+	warmTop     = 3
 )
 
 // Estimator tracks the P95 of durations by stochastic approximation in the logarithm:
@@ -20,14 +23,15 @@
 type Estimator struct {
 	value   float64
 	samples uint32
+	// top holds the largest of the first samples in descending order.
+	top [warmTop]float64
 }
 
 // Add takes one sample.
 func (e *Estimator) Add(d time.Duration) {
 	x := float64(max(d, 1))
 	if e.samples < warmSamples {
-		e.samples++
-		e.value = max(e.value, x)
+		e.warm(x)
 		return
 	}
 	if x > e.value {
@@ -37,6 +41,16 @@
 	e.value *= 1 - gain*(1-P95)
 }
 
+func (e *Estimator) warm(x float64) {
+	e.samples++
+	for i := range e.top {
+		if x > e.top[i] {
+			x, e.top[i] = e.top[i], x
+		}
+	}
+	e.value = e.top[warmTop-1]
+}
+
 // AddAtLeast takes a sample that was cut off at d: its true duration is d or more. It
 // tells something only where d is above the estimate already.
 func (e *Estimator) AddAtLeast(d time.Duration) {
--- a/internal/core/query/budget.go
+++ b/internal/core/query/budget.go
@@ -10,7 +10,7 @@
 	// minBurst is the least number of tokens that a bucket can hold.
 	minBurst = 8
 	// burstQueries is how many queries' worth of tokens a bucket can hold.
-	burstQueries = 2
+	burstQueries = 4
 )
 
 // Budget is the token bucket that hedges and retries of a service share. It starts
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -24,6 +24,8 @@
 	// Latency is the usual time to answer, Jitter the spread added to it.
 	Latency time.Duration
 	Jitter  time.Duration
+	// Spread is the mean of an exponential part of the time to answer.
+	Spread time.Duration
 	// SlowShare of the requests take SlowFactor times as long.
 	SlowShare  float64
 	SlowFactor float64
@@ -164,6 +166,9 @@
 	if b.Jitter > 0 {
 		work += time.Duration(t.rng.Int64N(int64(b.Jitter)))
 	}
+	if b.Spread > 0 {
+		work += time.Duration(t.rng.ExpFloat64() * float64(b.Spread))
+	}
 	if t.rng.Float64() < b.SlowShare {
 		work = time.Duration(float64(work) * b.SlowFactor)
 	}
