Refuse bad input at the front with its reason

A body over the limit got hertz's bare 413, unknown fields and a second JSON value were ignored, and the header had hertz's bound of a megabyte.

A body up to four times the limit is now read and refused with 114 and both sizes; above that hertz closes with 413 as before. Headers are bounded at 16 KiB. Errors name the field and what is allowed. Ruled out: reading bodies as streams, which would hold a hertz worker for each slow caller. TestBadInputIsRefusedWithItsReason failed on the old front for the unknown field, the second value and the body's size (no JSON answer).

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"encoding/json"
 	"net/http"
 	"strings"
 	"sync"
@@ -48,14 +47,16 @@
 const (
 	defaultLimit = 10
 	maxLimit     = 1000
+	maxTimeoutMS = 60_000
 )
 
 // Front is the listener for callers.
 type Front struct {
-	submit  func(*engine.Submit) bool
-	tracer  *trace.Tracer
-	next    atomic.Uint64
-	refused atomic.Bool
+	submit    func(*engine.Submit) bool
+	tracer    *trace.Tracer
+	bodyBytes int
+	next      atomic.Uint64
+	refused   atomic.Bool
 	// isolated fails the balancer's check for as long as it is set.
 	isolated atomic.Bool
 	ready    atomic.Pointer[func() bool]
@@ -69,7 +70,9 @@
 // Start listens on address. submit hands a request over and reports whether it was
 // taken; routes add further paths.
 func Start(address string, limits httpd.Limits, tracer *trace.Tracer, submit func(*engine.Submit) bool, routes ...func(*server.Hertz)) (*Front, error) {
-	f := &Front{submit: submit, tracer: tracer, waiting: map[uint64]chan engine.Answer{}}
+	f := &Front{submit: submit, tracer: tracer, bodyBytes: limits.BodyBytes, waiting: map[uint64]chan engine.Answer{}}
+	limits.BodyBytes *= readFactor
+	limits.HeaderBytes = maxHeaderBytes
 	s, err := httpd.Start(address, limits, func(h *server.Hertz) {
 		f.routes(h)
 		for _, route := range routes {
@@ -123,7 +126,7 @@
 }
 
 func (f *Front) routes(h *server.Hertz) {
-	h.Use(f.closeWhenLeaving)
+	h.Use(f.closeWhenLeaving, f.limitBody)
 	h.POST("/v1/services/:service/query", f.query)
 	h.GET("/healthz", f.healthz)
 }
@@ -154,18 +157,11 @@
 }
 
 func (f *Front) query(_ context.Context, c *app.RequestContext) {
-	var body QueryBody
-	if err := json.Unmarshal(c.Request.Body(), &body); err != nil {
+	body, err := decodeQuery(c.Request.Body())
+	if err != nil {
 		write(c, &engine.Answer{Code: result.BadRequest, Detail: err.Error()})
 		return
 	}
-	if body.Limit < 0 || body.Limit > maxLimit || body.TimeoutMS < 0 {
-		write(c, &engine.Answer{Code: result.BadRequest, Detail: "limit or timeout_ms is out of range"})
-		return
-	}
-	if body.Limit == 0 {
-		body.Limit = defaultLimit
-	}
 	span := f.tracer.Start(string(c.GetHeader(trace.Header)), "query", attribute.String("service", c.Param("service")))
 	answer := f.await(&query.Request{
 		KeyHash:     sha256.Sum256([]byte(bearer(c))),
--- /dev/null
+++ b/internal/edge/front/front_test.go
@@ -0,0 +1,85 @@
+package front
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/result"
+	"pollentack.example/pollentack/internal/edge/httpd"
+	"pollentack.example/pollentack/internal/edge/trace"
+)
+
+// TestBadInputIsRefusedWithItsReason posts what is not a query: each gets code 114 and
+// says why, and none reaches the engine.
+func TestBadInputIsRefusedWithItsReason(t *testing.T) {
+	const bodyBytes = 1024
+	submitted := 0
+	f, err := Start("127.0.0.1:0", httpd.Limits{BodyBytes: bodyBytes}, trace.Off(), func(*engine.Submit) bool {
+		submitted++
+		return false
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Stop()
+	post := func(body string) (int, AnswerBody) {
+		resp, err := http.Post("http://"+f.Address()+"/v1/services/s/query", "application/json", bytes.NewReader([]byte(body)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		var answer AnswerBody
+		if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+			t.Fatalf("body of %d bytes: status %s, no answer: %v", len(body), resp.Status, err)
+		}
+		return resp.StatusCode, answer
+	}
+	tests := map[string]struct{ body, want string }{
+		"empty":         {"", "the body is not a query in JSON: EOF"},
+		"not JSON":      {"query=x", "the body is not a query in JSON: invalid character"},
+		"wrong type":    {`{"query": 7}`, "cannot unmarshal number"},
+		"unknown field": {`{"qeury": "x"}`, `unknown field "qeury"`},
+		"two values":    {`{"query": "x"} {}`, "more than one JSON value"},
+		"limit":         {`{"query": "x", "limit": 1001}`, "limit is 1001; allowed are 0 to 1000"},
+		"timeout":       {`{"query": "x", "timeout_ms": -1}`, "timeout_ms is -1; allowed are 0 to 60000"},
+		"too large":     {`{"query": "` + strings.Repeat("x", bodyBytes) + `"}`, "bytes; allowed are 1024"},
+	}
+	for name, tt := range tests {
+		status, answer := post(tt.body)
+		if status != http.StatusBadRequest || answer.Code != result.BadRequest || !strings.Contains(answer.Detail, tt.want) {
+			t.Errorf("%s: status %d, answer %+v; want 114 with %q", name, status, answer, tt.want)
+		}
+	}
+	if submitted != 0 {
+		t.Errorf("%d bad requests reached the engine", submitted)
+	}
+	if _, answer := post(`{"query": "x"}`); answer.Code != result.QueueFull || submitted != 1 {
+		t.Errorf("a good query: %+v, %d submitted", answer, submitted)
+	}
+}
+
+// TestHeaderIsBounded sends a header above the limit.
+func TestHeaderIsBounded(t *testing.T) {
+	f, err := Start("127.0.0.1:0", httpd.Limits{BodyBytes: 1024}, trace.Off(), func(*engine.Submit) bool { return false })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Stop()
+	req, err := http.NewRequest(http.MethodGet, "http://"+f.Address()+"/healthz", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("X-Long", strings.Repeat("x", 2*maxHeaderBytes))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %s, want %d", resp.Status, http.StatusRequestHeaderFieldsTooLarge)
+	}
+}
--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
@@ -18,6 +19,8 @@
 // Limits bound what a listener takes.
 type Limits struct {
 	BodyBytes int
+	// HeaderBytes is hertz's own default where it is 0.
+	HeaderBytes int
 }
 
 // Server is one listener.
@@ -52,7 +55,7 @@
 	address := socket.Addr().String()
 	listener := newListener(socket)
 	quiet()
-	h := server.New(
+	options := []config.Option{
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(limits.BodyBytes),
@@ -60,7 +63,11 @@
 		server.WithIdleTimeout(idleTimeout),
 		server.WithExitWaitTime(closeTimeout),
 		server.WithDisablePrintRoute(true),
-	)
+	}
+	if limits.HeaderBytes > 0 {
+		options = append(options, server.WithMaxHeaderBytes(limits.HeaderBytes))
+	}
+	h := server.New(options...)
 	route(h)
 	group, err := duty.NewGroup(1, func(string, error) {})
 	if err != nil {
