--- a/cmd/pollentack/operations_test.go
+++ b/cmd/pollentack/operations_test.go
@@ -106,6 +106,10 @@
 	t.Cleanup(s.stop)
 	for _, h := range s.hosts {
 		s.awaitNote(h, 1)
+		s.await("all peers of "+h.name, func() bool {
+			st, ok := s.status(h)
+			return ok && len(st.Peers) == len(s.hosts)-1
+		})
 	}
 	return s, rewrite
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/membership"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/admin"
 	"pollentack.example/pollentack/internal/edge/await"
