Give bodies that are not known to run clean a lease of one run, and bar those that kill

Cause: a scatter of a body that crashes targets takes one replica of every shard, and the caller's resends through other hosts take the rest. Ruled out: suspicion by gossip alone, since resends through several hosts outrun it. Change: each fingerprint has a home among the hosts by rendezvous hashing; its book gives one lease at a time; a death under it, or no word of its holder, counts; the second convicts. A query under a lease goes to one shard, a few, all, and is not retried.

--- a/internal/core/engine/effect.go
+++ b/internal/core/engine/effect.go
@@ -68,6 +68,8 @@
 	// a peer is wanted; 0 for none.
 	WordWanted time.Duration
 	OnceEffects
+	CanaryCalls   []CanaryCall
+	CanaryReplies []CanaryReply
 }
 
 // Reset empties the effects and keeps their memory.
@@ -84,4 +86,8 @@
 	fx.Convictions = fx.Convictions[:0]
 	fx.WordWanted = 0
 	fx.resetOnce()
+	clear(fx.CanaryCalls)
+	clear(fx.CanaryReplies)
+	fx.CanaryCalls = fx.CanaryCalls[:0]
+	fx.CanaryReplies = fx.CanaryReplies[:0]
 }
--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -14,6 +14,7 @@
 
 	"pollentack.example/pollentack/internal/core/clock"
 	"pollentack.example/pollentack/internal/core/once"
+	"pollentack.example/pollentack/internal/core/quarantine"
 	"pollentack.example/pollentack/internal/core/query"
 	"pollentack.example/pollentack/internal/core/release"
 	"pollentack.example/pollentack/internal/core/result"
@@ -38,6 +39,8 @@
 	MaxGap time.Duration
 	// Once bounds the requests that run at most once.
 	Once once.Config
+	// Quarantine bounds what is kept of bodies that ran clean or killed targets.
+	Quarantine quarantine.Config
 }
 
 // Counters are totals since the start, for metrics.
@@ -93,6 +96,7 @@
 	turnDue  bool
 	once     onceState
 	pause    pause
+	canary   canaryState
 }
 
 // New returns an engine that refuses everything until a Release event.
@@ -109,6 +113,7 @@
 		byKey:    map[uint64]query.ID{},
 		gate:     newGate(cfg.Queue),
 		once:     newOnceState(&cfg.Once),
+		canary:   newCanaryState(&cfg.Quarantine),
 	}
 	e.targets.Configure(cfg.Targets)
 	return e
@@ -135,13 +140,17 @@
 	case *Drain:
 		e.draining = true
 	case *PeerFacts:
-		e.peerFacts(ev)
+		e.peerFacts(now, ev)
 	case *HostList:
 		e.hostList(ev)
 	case *Isolation:
 		e.isolation(now, ev, fx)
 	case *Word:
 		e.word(now, ev, fx)
+	case *CanaryAnswered:
+		e.canaryAnswered(now, ev, fx)
+	case *CanaryServe:
+		e.serveCanary(now, ev, fx)
 	default:
 		e.stepOnce(now, ev, fx)
 	}
@@ -171,6 +180,10 @@
 			e.onceDue(t, fx)
 			continue
 		}
+		if t.kind == timerCanary {
+			e.canaryDue(now, t, fx)
+			continue
+		}
 		if t.kind == timerWake {
 			e.wake(now, t, fx)
 			continue
@@ -232,8 +245,9 @@
 }
 
 // peerFacts takes hearsay of targets: only a newer incarnation or a departure counts.
-func (e *Engine) peerFacts(ev *PeerFacts) {
+func (e *Engine) peerFacts(now clock.Instant, ev *PeerFacts) {
 	e.hearFacts(ev.Targets)
+	e.hearConvictions(now, ev.Convictions)
 }
 
 func (e *Engine) refuse(key uint64, code result.Code, detail string, fx *Effects) {
--- a/internal/core/engine/gather.go
+++ b/internal/core/engine/gather.go
@@ -35,11 +35,14 @@
 	q.Ran = q.Ran || !r.Outcome.NotRun()
 	switch {
 	case !live:
+		e.lateCanary(now, q, r, fx)
 		e.late(q, r)
 	case slot.Done:
 		e.counters.LateReplies++
+	case e.canaryFailed(now, q, r, fx):
 	default:
 		e.take(now, q, r, stale, fx)
+		e.advanceCanary(now, q, fx)
 	}
 	e.resume(now, r.Target, fx)
 }
--- a/internal/core/engine/lifecycle.go
+++ b/internal/core/engine/lifecycle.go
@@ -49,7 +49,8 @@
 
 // detach takes a query out of progress and cancels its attempts. It is kept until each
 // of them has ended, so that what is in progress at targets stays counted.
-func (e *Engine) detach(q *query.Query, fx *Effects) {
+func (e *Engine) detach(now clock.Instant, q *query.Query, fx *Effects) {
+	e.leaveCanary(now, q, fx)
 	if q.Open > 0 {
 		for shard := range q.Slots {
 			e.cancelAttempts(q, int32(shard), fx)
@@ -119,7 +120,7 @@
 		e.counters.Refusals++
 	}
 	e.gate.ended(q.Request.Key, code, now.Mono)
-	e.detach(q, fx)
+	e.detach(now, q, fx)
 	fx.Answers = append(fx.Answers, answer)
 }
 
@@ -131,6 +132,8 @@
 		least = 1
 	}
 	switch {
+	case q.Canary.Barred && q.Attempts == 0:
+		return result.Quarantined, "the body killed targets that ran it"
 	case q.Complete(), q.Answered > 0 && q.Coverage() >= least:
 		return result.OK, ""
 	case q.Ran || q.Open > 0:
--- a/internal/core/engine/once.go
+++ b/internal/core/engine/once.go
@@ -17,6 +17,9 @@
 	defaultOnceTimeout = 5 * time.Second
 	// homeGrace lets the reply of a target arrive before the home gives up on it.
 	homeGrace = 200 * time.Millisecond
+	// maxForwardRounds is how often the hosts are asked in turn: a record that is handed
+	// over from a later one to an earlier one is missed by the first round.
+	maxForwardRounds = 2
 	// forwardGrace lets the home give up before the host that forwarded does.
 	forwardGrace = 500 * time.Millisecond
 )
@@ -38,7 +41,9 @@
 	req      *OnceRequest
 	deadline time.Duration
 	// hops are the peers still to be asked.
-	hops   []string
+	hops []string
+	// rounds counts how often all hosts that may hold the ticket have been asked.
+	rounds int
 	parked bool
 }
 
@@ -147,7 +152,6 @@
 	case call.req.Forwarded:
 		e.answerOnce(call.req.Key, &OnceAnswer{Code: result.HomeGone, Detail: "this host does not hold the ticket", NotHeld: true}, fx)
 	default:
-		call.hops = e.holders(ref)
 		e.forwardNext(call, fx)
 	}
 }
@@ -167,6 +171,10 @@
 // forwardNext asks the next peer. Asking another after a lost call is safe: at most
 // one process holds the ticket, and the others say that they do not.
 func (e *Engine) forwardNext(call *onceCall, fx *Effects) {
+	if len(call.hops) == 0 && call.rounds < maxForwardRounds {
+		call.rounds++
+		call.hops = e.holders(call.req.Ticket.Ref)
+	}
 	if len(call.hops) == 0 {
 		e.answerOnce(call.req.Key, &OnceAnswer{Code: result.HomeGone, Detail: "neither the ticket's home nor a successor of it was reached"}, fx)
 		return
--- a/internal/core/engine/oncerun.go
+++ b/internal/core/engine/oncerun.go
@@ -7,6 +7,7 @@
 
 	"pollentack.example/pollentack/internal/core/clock"
 	"pollentack.example/pollentack/internal/core/once"
+	"pollentack.example/pollentack/internal/core/quarantine"
 	"pollentack.example/pollentack/internal/core/query"
 	"pollentack.example/pollentack/internal/core/release"
 	"pollentack.example/pollentack/internal/core/result"
@@ -43,7 +44,7 @@
 
 // startRun begins the run of a ticket or refuses it for good as not run.
 func (e *Engine) startRun(now clock.Instant, req *OnceRequest, caller *release.Caller, fx *Effects) {
-	if err := e.runBarred(req, caller); err != nil {
+	if err := e.runBarred(now, req, caller); err != nil {
 		e.finishOnce(req.Ticket.Ref, once.Outcome{Code: err.Code, Detail: err.Detail}, fx)
 		return
 	}
@@ -54,7 +55,7 @@
 	e.sendRun(run, fx)
 }
 
-func (e *Engine) runBarred(req *OnceRequest, caller *release.Caller) *result.Error {
+func (e *Engine) runBarred(now clock.Instant, req *OnceRequest, caller *release.Caller) *result.Error {
 	svc, ok := e.state.Services[req.Service]
 	switch {
 	case !ok:
@@ -63,6 +64,8 @@
 		return &result.Error{Code: result.BadRequest, Detail: fmt.Sprintf("service %q takes no tickets", req.Service)}
 	case !caller.Services[req.Service]:
 		return &result.Error{Code: result.CallerForbidden, Detail: fmt.Sprintf("caller %q may not use service %q", caller.Name, req.Service)}
+	case e.canary.book.Known(now, quarantine.Of(req.Service, req.Body)) == quarantine.Convicted:
+		return &result.Error{Code: result.Quarantined, Detail: "the body killed targets that ran it"}
 	case e.isolated:
 		return &result.Error{Code: result.Isolated, Detail: "neither the platform nor a peer is reached"}
 	}
--- a/internal/core/engine/scatter.go
+++ b/internal/core/engine/scatter.go
@@ -18,8 +18,16 @@
 
 // scatter sends the first attempt of every shard that has a replica with room.
 func (e *Engine) scatter(now clock.Instant, q *query.Query, fx *Effects) {
+	if e.holdForCanary(now, q, fx) {
+		return
+	}
+	e.scatterFrom(now, q, 0, fx)
+}
+
+// scatterFrom sends the first attempts of the shards from begin on.
+func (e *Engine) scatterFrom(now clock.Instant, q *query.Query, begin int, fx *Effects) {
 	id := q.ID
-	for shard := range q.Slots {
+	for shard := begin; shard < len(q.Slots); shard++ {
 		e.place(now, q, int32(shard), fx)
 		if q.ID != id || e.queries[id] != q {
 			return
@@ -49,6 +57,9 @@
 // attempt sends one request for the shard if a replica other than avoid has room.
 func (e *Engine) attempt(now clock.Instant, q *query.Query, shard int32, avoid target.ID, why purpose, fx *Effects) target.Choice {
 	slot := &q.Slots[shard]
+	if heldBack(q, shard) {
+		return noChoice
+	}
 	if !slot.CanTry() {
 		return target.Choice{ID: target.None}
 	}
--- a/internal/core/engine/snapshot.go
+++ b/internal/core/engine/snapshot.go
@@ -244,7 +244,7 @@
 	}
 	e.counters.Restarts++
 	old := *q
-	e.detach(q, fx)
+	e.detach(now, q, fx)
 	fresh := e.newQuery(old.Request, next)
 	fresh.Policy, fresh.Service = old.Policy, old.Service
 	fresh.Started, fresh.Deadline = old.Started, old.Deadline
--- a/internal/core/engine/timer.go
+++ b/internal/core/engine/timer.go
@@ -17,6 +17,8 @@
 	// timerTurn and timerQueue belong to no query.
 	timerTurn
 	timerQueue
+	// timerCanary belongs to a fingerprint.
+	timerCanary
 )
 
 // timer belongs to a query, or to a group for timerWake.
--- a/internal/core/query/query.go
+++ b/internal/core/query/query.go
@@ -66,6 +66,8 @@
 	Retired bool
 	// Restarts is how often the query began again on another snapshot.
 	Restarts int
+	// Canary is the state of a body that was not known to run clean.
+	Canary Canary
 	// Late lists the shards that a hedge or a retry may still help.
 	Late []int32
 }
@@ -76,6 +78,7 @@
 	q.Plan = plan
 	q.Answered, q.Lost, q.Weight, q.Hedges = 0, 0, 0, 0
 	q.Retired = false
+	q.Canary = Canary{}
 	q.Late = q.Late[:0]
 	q.Top.Reset(q.Request.Limit)
 	n := len(plan.Groups)
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -17,6 +17,7 @@
 	client  *targetclient.Client
 	replies func(engine.Event) bool
 	peers   *oncePeers
+	canary  *canaryPeers
 }
 
 // newDispatch returns a dispatch with a worker for each of connections.
@@ -74,6 +75,8 @@
 		return d.client.Run(w.run)
 	case w.forward != nil:
 		return d.peers.forward(w.forward)
+	case w.canary != nil:
+		return d.canary.ask(w.canary)
 	case w.handover != nil:
 		return d.peers.handOver(w.handover)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,7 @@
 	admin    *admin.Admin
 
 	once    *oncePeers
+	canary  *canaryPeers
 	tickets *front.Once
 
 	stopOnce  sync.Once
@@ -120,11 +121,15 @@
 	waiters := await.New[engine.OnceAnswer]()
 	n.queries.deliverOnce = waiters.Deliver
 	n.once = &oncePeers{peers: peers, clock: n.clock, submit: n.queries.submit, waiters: waiters}
+	n.once.handedOver = func() bool { return n.queries.counted.Load().HandedOver }
 	n.tickets = front.NewOnce(n.queries.submit, waiters, n.tracer)
 	if n.dispatch, err = newDispatch(n.settings.Limits.Connections, client, n.queries.put); err != nil {
 		return err
 	}
 	n.dispatch.peers = n.once
+	n.canary = newCanaryPeers(peers, n.queries.submit)
+	n.dispatch.canary = n.canary
+	n.queries.deliverCanary = n.canary.waiters.Deliver
 	n.queries.tell = n.members.tell
 	n.queries.dispatch = n.dispatch.put
 	n.queries.connections = client.Connections
@@ -135,6 +140,7 @@
 		}
 	}
 	n.once.handle()
+	n.canary.handle()
 	return nil
 }
 
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -54,6 +54,8 @@
 	clock   wallclock.Clock
 	submit  func(engine.Event) bool
 	waiters *await.Waiters[engine.OnceAnswer]
+	// handedOver reports whether this host has ended its handover.
+	handedOver func() bool
 }
 
 // handle takes the calls of peers.
@@ -73,6 +75,8 @@
 	})
 	if !ok {
 		answer = engine.OnceAnswer{Code: result.OutcomeUnknown, Detail: "the ring of the ticket's holder is full; send it again"}
+		// A host that has handed its tickets over holds none.
+		answer.NotHeld = p.handedOver()
 	}
 	return response(&answer)
 }
--- a/internal/node/queries.go
+++ b/internal/node/queries.go
@@ -6,6 +6,7 @@
 
 	"pollentack.example/pollentack/internal/core/engine"
 	"pollentack.example/pollentack/internal/core/once"
+	"pollentack.example/pollentack/internal/core/quarantine"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/wallclock"
 	"pollentack.example/pollentack/internal/ring"
@@ -28,6 +29,7 @@
 	run      *engine.RunSend
 	forward  *engine.Forward
 	handover *engine.Handover
+	canary   *engine.CanaryCall
 }
 
 // unsent is the end of work that was never begun.
@@ -37,6 +39,8 @@
 		return &engine.RunReply{Run: w.run.Run, Try: w.run.Try, Target: w.run.Target, Outcome: engine.Unreachable}
 	case w.forward != nil:
 		return &engine.Forwarded{Key: w.forward.Key}
+	case w.canary != nil:
+		return &engine.CanaryAnswered{Call: *w.canary}
 	case w.handover != nil:
 		return &engine.HandoverDone{Number: w.handover.Chunk.Number, NeverSent: true}
 	}
@@ -55,7 +59,8 @@
 	connections func(address string) int
 	deliver     atomic.Pointer[func(*engine.Answer)]
 
-	deliverOnce func(uint64, engine.OnceAnswer)
+	deliverOnce   func(uint64, engine.OnceAnswer)
+	deliverCanary func(uint64, quarantine.Answer)
 	// unsent are replies for work that the dispatch ring refused.
 	unsent []engine.Event
 	// targets is what status last said of the targets, at the time targetsAt.
@@ -162,6 +167,7 @@
 			q.send(work{send: &x})
 		}
 		q.carryOutOnce(&fx.OnceEffects)
+		q.carryOutCanary(fx)
 		fx.Reset()
 		if len(q.unsent) == 0 {
 			return
@@ -188,6 +194,16 @@
 	}
 }
 
+func (q *queries) carryOutCanary(fx *engine.Effects) {
+	for i := range fx.CanaryReplies {
+		q.deliverCanary(fx.CanaryReplies[i].Key, fx.CanaryReplies[i].Answer)
+	}
+	for i := range fx.CanaryCalls {
+		x := fx.CanaryCalls[i]
+		q.send(work{canary: &x})
+	}
+}
+
 func (q *queries) send(w work) {
 	if !q.dispatch(w) {
 		q.unsent = append(q.unsent, w.unsent())
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -105,6 +105,7 @@
 		n.queries.inbox.Close()
 		n.front.Break()
 		n.once.waiters.Abandon()
+		n.canary.waiters.Abandon()
 		n.front.Abandon()
 		n.front.Stop()
 		n.admin.Stop()
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -34,6 +34,7 @@
 	Warming    Warming
 	Faults     Faults
 	Runs       RunFaults
+	Crash      Crash
 }
 
 // Target is one stand-in target.
@@ -50,6 +51,7 @@
 	lastBegan   time.Time
 	cancels     map[targetapi.AttemptRef]chan struct{}
 	ledger      *Ledger
+	deaths      int
 
 	listener *restartListener
 	server   *httpd.Server
@@ -119,6 +121,9 @@
 		return
 	}
 	defer t.end(req.Attempt, &job)
+	if t.crashes(req.Body) {
+		return
+	}
 	limit := timeLeft(&req)
 	timer := time.NewTimer(min(job.work, limit))
 	defer timer.Stop()
