--- a/internal/core/engine/snapshot.go
+++ b/internal/core/engine/snapshot.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pollentack.example/pollentack/internal/core/clock"
+	"pollentack.example/pollentack/internal/core/quantile"
 	"pollentack.example/pollentack/internal/core/query"
 	"pollentack.example/pollentack/internal/core/release"
 	"pollentack.example/pollentack/internal/core/result"
@@ -64,7 +65,7 @@
 func (e *Engine) service(name string) *query.Service {
 	svc, ok := e.services[name]
 	if !ok {
-		svc = &query.Service{}
+		svc = &query.Service{Latency: quantile.Estimator{Fine: true}}
 		e.services[name] = svc
 	}
 	return svc
--- a/internal/core/quantile/quantile.go
+++ b/internal/core/quantile/quantile.go
@@ -7,8 +7,9 @@
 const P95 = 0.95
 
 const (
-	// gain is the relative step of a settled estimate.
-	gain = 0.05
+	// coarseGain and fineGain are the relative steps of a settled estimate.
+	coarseGain = 0.05
+	fineGain   = 0.005
 	// warmSamples is how many samples an estimate needs before it is trusted, and
 	// warmTop how many of them are kept: the least of these is about their P95, and
 	// one or two stragglers among them do not show in it.
@@ -21,6 +22,9 @@
 // gain*(1-P95), so that it rests where one sample in twenty is above. Recent samples
 // weigh more than old ones. The zero value is ready.
 type Estimator struct {
+	// Fine takes a tenth of the step: for many samples that come in runs, as the replies
+	// to one query do, the fast ones first.
+	Fine    bool
 	value   float64
 	samples uint32
 	// top holds the largest of the first samples in descending order.
@@ -34,6 +38,10 @@
 		e.warm(x)
 		return
 	}
+	gain := coarseGain
+	if e.Fine {
+		gain = fineGain
+	}
 	if x > e.value {
 		e.value *= 1 + gain*P95
 		return
--- a/internal/core/target/eject.go
+++ b/internal/core/target/eject.go
@@ -8,6 +8,8 @@
 	minHold            = 2 * time.Millisecond
 	maxShedHold        = 64 * time.Millisecond
 	maxUnreachableHold = time.Second
+	// probeRefusals is how many refusals in a row leave a target one request at a time.
+	probeRefusals = 3
 
 	// ejectLosses is how many requests in a row must be lost for an ejection.
 	ejectLosses = 5
@@ -48,10 +50,10 @@
 // HeldUntil returns when the target may be tried again, 0 where it is not held.
 func (s *Standing) HeldUntil() time.Duration { return s.heldUntil }
 
-// held reports whether the target is left alone after a refusal. A target that could
-// not be reached is then tried by one request at a time.
+// held reports whether the target is left alone after a refusal. One that could not be
+// reached, or that refused several times in a row, is then tried by one request at a time.
 func (e *Entry) held(now time.Duration) bool {
-	return now < e.heldUntil || (e.unreachable && e.InFlight > 0)
+	return now < e.heldUntil || (e.InFlight > 0 && (e.unreachable || e.refusals >= probeRefusals))
 }
 
 // Refused records that the target did not run a request: it shed it, or was not
