--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"encoding/json"
 	"net/http"
 	"strings"
 	"sync"
@@ -48,16 +47,19 @@
 const (
 	defaultLimit = 10
 	maxLimit     = 1000
+	maxTimeoutMS = 60_000
 )
 
 // Front is the listener for callers.
 type Front struct {
-	submit  func(*engine.Submit) bool
-	tracer  *trace.Tracer
-	next    atomic.Uint64
-	refused atomic.Bool
+	submit    func(*engine.Submit) bool
+	tracer    *trace.Tracer
+	bodyBytes int
+	next      atomic.Uint64
+	refused   atomic.Bool
 	// isolated fails the balancer's check for as long as it is set.
 	isolated atomic.Bool
+	ready    atomic.Pointer[func() bool]
 
 	mu      sync.Mutex
 	waiting map[uint64]chan engine.Answer
@@ -68,7 +70,9 @@
 // Start listens on address. submit hands a request over and reports whether it was
 // taken; routes add further paths.
 func Start(address string, limits httpd.Limits, tracer *trace.Tracer, submit func(*engine.Submit) bool, routes ...func(*server.Hertz)) (*Front, error) {
-	f := &Front{submit: submit, tracer: tracer, waiting: map[uint64]chan engine.Answer{}}
+	f := &Front{submit: submit, tracer: tracer, bodyBytes: limits.BodyBytes, waiting: map[uint64]chan engine.Answer{}}
+	limits.BodyBytes *= readFactor
+	limits.HeaderBytes = maxHeaderBytes
 	s, err := httpd.Start(address, limits, func(h *server.Hertz) {
 		f.routes(h)
 		for _, route := range routes {
@@ -91,6 +95,22 @@
 // SetIsolated makes the balancer's check fail while the host is isolated.
 func (f *Front) SetIsolated(isolated bool) { f.isolated.Store(isolated) }
 
+// SetReady gives what the balancer's check asks besides; the check fails until then.
+func (f *Front) SetReady(ready func() bool) { f.ready.Store(&ready) }
+
+// Break closes every connection at once, as the end of the process does.
+func (f *Front) Break() { f.server.Break() }
+
+// Abandon answers every query in progress as unknown.
+func (f *Front) Abandon() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for key, ch := range f.waiting {
+		delete(f.waiting, key)
+		close(ch)
+	}
+}
+
 // Stop stops listening once the requests in progress have been answered.
 func (f *Front) Stop() { f.server.Close() }
 
@@ -106,7 +126,7 @@
 }
 
 func (f *Front) routes(h *server.Hertz) {
-	h.Use(f.closeWhenLeaving)
+	h.Use(f.closeWhenLeaving, f.limitBody)
 	h.POST("/v1/services/:service/query", f.query)
 	h.GET("/healthz", f.healthz)
 }
@@ -129,22 +149,19 @@
 		c.String(http.StatusServiceUnavailable, "isolated\n")
 		return
 	}
+	if ready := f.ready.Load(); ready == nil || !(*ready)() {
+		c.String(http.StatusServiceUnavailable, "not ready\n")
+		return
+	}
 	c.String(http.StatusOK, "ok\n")
 }
 
 func (f *Front) query(_ context.Context, c *app.RequestContext) {
-	var body QueryBody
-	if err := json.Unmarshal(c.Request.Body(), &body); err != nil {
+	body, err := decodeQuery(c.Request.Body())
+	if err != nil {
 		write(c, &engine.Answer{Code: result.BadRequest, Detail: err.Error()})
 		return
 	}
-	if body.Limit < 0 || body.Limit > maxLimit || body.TimeoutMS < 0 {
-		write(c, &engine.Answer{Code: result.BadRequest, Detail: "limit or timeout_ms is out of range"})
-		return
-	}
-	if body.Limit == 0 {
-		body.Limit = defaultLimit
-	}
 	span := f.tracer.Start(string(c.GetHeader(trace.Header)), "query", attribute.String("service", c.Param("service")))
 	answer := f.await(&query.Request{
 		KeyHash:     sha256.Sum256([]byte(bearer(c))),
@@ -179,7 +196,11 @@
 		f.mu.Unlock()
 		return engine.Answer{Code: result.QueueFull, Detail: "the host's ring of new queries is full"}
 	}
-	return <-ch
+	answer, ok := <-ch
+	if !ok {
+		return engine.Answer{Code: result.OutcomeUnknown, Detail: "the host ended"}
+	}
+	return answer
 }
 
 func write(c *app.RequestContext, a *engine.Answer) {
