--- a/internal/experiment/zone.go
+++ b/internal/experiment/zone.go
@@ -35,10 +35,12 @@
 // zoneOutcome is one run.
 type zoneOutcome struct {
 	load *load.Report
-	// stop is the time from the note until the last work began in the zone.
-	stop  time.Duration
-	falls int
-	peak  int
+	// stop is the time from the note until the last work began in the zone; it is
+	// negative where that was before the note. served is the work there until then.
+	stop   time.Duration
+	served uint64
+	falls  int
+	peak   int
 	// warm is the time from the return until every host uses all targets of the zone.
 	warm time.Duration
 }
@@ -57,13 +59,14 @@
 		Baseline: baseline.values(),
 		Result:   ramped.values(),
 		Bound:    Values{"stop_s_max": maxZoneStop.Seconds(), "falls_max": 0, "cold_peak_max": coldBudget, "warm_s_max": maxWarm.Seconds(), "coverage_mean_min": 1, "unanswered_max": 0},
-		Holds:    served && ramped.stop <= maxZoneStop && ramped.falls == 0 && ramped.peak <= coldBudget && ramped.warm > 0,
+		Holds:    served && ramped.served > 0 && ramped.stop <= maxZoneStop && ramped.falls == 0 && ramped.peak <= coldBudget && ramped.warm > 0,
 	}, nil
 }
 
 func (o *zoneOutcome) values() Values {
 	return Values{
 		"stop_s":        o.stop.Seconds(),
+		"served_before": o.served,
 		"falls":         o.falls,
 		"cold_peak":     o.peak,
 		"warm_s":        o.warm.Seconds(),
@@ -124,8 +127,11 @@
 	noted := time.Now()
 	changeZone(bed, zone, true)
 	time.Sleep(zoneOut)
+	out.stop = -zoneSettle
 	for _, t := range targets {
-		out.stop = max(out.stop, t.Report().LastBegan.Sub(noted))
+		r := t.Report()
+		out.stop = max(out.stop, r.LastBegan.Sub(noted))
+		out.served += r.Served
 		t.Restart(0)
 	}
 	time.Sleep(coldDown)
