--- a/internal/core/target/table_test.go
+++ b/internal/core/target/table_test.go
@@ -50,7 +50,9 @@
 
 func TestTargetOfALaterNoteIsCold(t *testing.T) {
 	table, id, state := heardTable()
-	state(func(s *release.State) { s.Targets["u"] = &release.Target{Name: "u", Zone: "z", Slots: 1, ColdBudget: 1} })
+	state(func(s *release.State) {
+		s.Targets["u"] = &release.Target{Name: "u", Zone: "z", Slots: 1, ColdBudget: 1}
+	})
 	if table.Entry(id).Cold || !table.Entry(table.Lookup("u")).Cold {
 		t.Error("want the added target cold, and the other as it was")
 	}
