Test the demo's command and the first example in one process

Both were run by hand only. The example's files are copied with free ports, so that runs beside each other do not meet.

--- a/cmd/pollentack/demo.go
+++ b/cmd/pollentack/demo.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -32,7 +33,7 @@
 )
 
 // Run runs the main job in one process; exit code 1 means that a query was not answered.
-func (cmd *demoCmd) Run() error {
+func (cmd *demoCmd) Run(stdout io.Writer) error {
 	if cmd.Hosts < 1 || cmd.Hosts > maxDemoHosts {
 		return usage(fmt.Errorf("--hosts is %d; allowed are 1 to %d", cmd.Hosts, maxDemoHosts))
 	}
@@ -61,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	if err := printReport(os.Stdout, report, cmd.JSON); err != nil {
+	if err := printReport(stdout, report, cmd.JSON); err != nil {
 		return err
 	}
 	if cmd.Hold {
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -101,7 +101,7 @@
 // assignHosts gives each host a mesh address, which the note must name before they start.
 func (t *Testbed) assignHosts() error {
 	for i := range t.Layout.Hosts {
-		address, err := freeAddress()
+		address, err := FreeAddress()
 		if err != nil {
 			return err
 		}
@@ -117,7 +117,8 @@
 	return nil
 }
 
-func freeAddress() (string, error) {
+// FreeAddress returns a loopback address that nothing listens on.
+func FreeAddress() (string, error) {
 	l, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return "", fmt.Errorf("find a free port: %w", err)
