--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -30,6 +30,8 @@
 	MaxQueries int
 	// Hedge sends a second attempt to another replica when the first is late.
 	Hedge bool
+	// NoRetry is the baseline in which a shard has one attempt.
+	NoRetry bool
 	// Targets selects the baselines of limits, warm-up and selection.
 	Targets target.Options
 	// Queue bounds the admitted requests that wait; 0 admits without a queue.
--- a/internal/core/engine/gather.go
+++ b/internal/core/engine/gather.go
@@ -86,6 +86,8 @@
 		if slot.Open() > 0 {
 			e.cancelAttempts(q, shard, fx)
 		}
+	case e.cfg.NoRetry:
+		e.loseShard(now, q, shard, fx)
 	case r.Outcome == SnapshotGone:
 		e.denied(now, q.Plan, r.Target)
 		e.placeUnlessOpen(now, q, shard, fx)
--- a/internal/node/queries.go
+++ b/internal/node/queries.go
@@ -92,6 +92,7 @@
 			Seed:       uint64(s.Policy.Seed),
 			MaxQueries: s.Limits.Queries,
 			Hedge:      s.Policy.Hedge,
+			NoRetry:    s.Policy.NoRetry,
 			Queue:      s.Limits.Queue,
 			Targets:    targetOptions(s),
 			MaxGap:     maxStepGap,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -86,6 +86,8 @@
 	StaticLimit bool
 	NoWarmUp    bool
 	RoundRobin  bool
+	// NoRetry is the baseline in which a shard has one attempt.
+	NoRetry bool
 }
 
 // Log says how much is logged.
@@ -202,6 +204,7 @@
 	s.Policy.StaticLimit = sec.Choice("limit", "adaptive", "adaptive", "static") == "static"
 	s.Policy.NoWarmUp = !sec.Bool("warm-up", true)
 	s.Policy.RoundRobin = sec.Choice("selection", "two-choice", "two-choice", "round-robin") == "round-robin"
+	s.Policy.NoRetry = !sec.Bool("retry", true)
 }
 
 func (s *Settings) readLog(sec *inifile.Section) {
