--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -126,6 +126,9 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%64, i/perOctet, 1+i%perOctet)
 }
 
+// FreeAddress returns a loopback address that nothing listens on.
+func FreeAddress() (string, error) { return freeAddress("127.0.0.1") }
+
 func freeAddress(ip string) (string, error) {
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
