Add a request that crashes targets to the fault matrix (in progress)

Cause: the fault was the one that the world could not bring about. Two cases were narrowed by trace: a crossed reply is not heard by the shard it is given to, and a caller does not resend through a host that is down.

--- a/internal/faultmatrix/observer_test.go
+++ b/internal/faultmatrix/observer_test.go
@@ -71,9 +71,11 @@
 	byBody     map[string]*watched
 	fees       map[once.Ref]*fee
 	violations []violation
-	cold       map[string]time.Duration
-	leavingAt  map[string]time.Duration
-	zoneOutAt  map[string]time.Duration
+	// damage counts the targets that one body has crashed.
+	damage    int
+	cold      map[string]time.Duration
+	leavingAt map[string]time.Duration
+	zoneOutAt map[string]time.Duration
 	// knows holds the hosts that have had a sign of a target's present cold start.
 	knows map[string]map[int]bool
 	// informed counts the attempts in progress at a cold target from hosts that knew.
@@ -111,7 +113,9 @@
 	}
 	r := &watched{caller: c, life: h.life, replies: map[heard]bool{}, drained: h.stopping}
 	o.requests[c.key] = r
-	o.byBody[c.body] = r
+	if c.body != crashBody {
+		o.byBody[c.body] = r
+	}
 }
 
 // taken sees an event reach a host's engine. A host that was paused has read nothing
@@ -204,6 +208,9 @@
 		return
 	}
 	got, ok := parseDoc(r.Hits[0].Doc)
+	if got.shard != r.Attempt.Shard {
+		return
+	}
 	// A reply that is read at the deadline or later comes too late to count.
 	if w := o.byBody[got.body]; ok && w != nil && o.w.now < w.caller.deadline {
 		w.replies[got] = true
