--- a/internal/core/engine/canary.go
+++ b/internal/core/engine/canary.go
@@ -207,7 +207,9 @@
 	ask.waiting = ask.waiting[1:]
 	ask.busy = true
 	q.Canary.Stage, q.Canary.Home, q.Canary.Lease = query.StageOne, home, lease
-	e.place(now, q, 0, fx)
+	// Two deaths of one body then seldom take both replicas of a shard.
+	q.Canary.First = int((uint64(f) + lease) % uint64(len(q.Slots)))
+	e.place(now, q, shardAt(q, 0), fx)
 	if e.queries[q.ID] == q {
 		e.settle(now, q, fx)
 	}
@@ -215,31 +217,38 @@
 
 // heldBack reports whether the query's stage does not reach the shard yet.
 func heldBack(q *query.Query, shard int32) bool {
+	n := len(q.Slots)
+	place := (int(shard) - q.Canary.First + n) % n
 	switch q.Canary.Stage {
 	case query.StageWaiting:
 		return true
 	case query.StageOne:
-		return shard > 0
+		return place > 0
 	case query.StageFew:
-		return shard > canaryFew
+		return place > canaryFew
 	}
 	return false
 }
 
+// shardAt returns the shard at a place of the query's order.
+func shardAt(q *query.Query, place int) int32 {
+	return int32((q.Canary.First + place) % len(q.Slots))
+}
+
 // advanceCanary goes on to the next stage once the shards of this one have settled.
 func (e *Engine) advanceCanary(now clock.Instant, q *query.Query, fx *Effects) {
 	if e.queries[q.ID] != q || q.Canary.Lease == 0 {
 		return
 	}
 	few := min(1+canaryFew, len(q.Slots))
-	if q.Canary.Stage == query.StageOne && q.Slots[0].Settled() {
+	if q.Canary.Stage == query.StageOne && q.Slots[q.Canary.First].Settled() {
 		q.Canary.Stage = query.StageFew
-		for shard := 1; shard < few && e.queries[q.ID] == q; shard++ {
-			e.place(now, q, int32(shard), fx)
+		for place := 1; place < few && e.queries[q.ID] == q; place++ {
+			e.place(now, q, shardAt(q, place), fx)
 		}
 	}
-	for shard := range few {
-		if !q.Slots[shard].Settled() {
+	for place := range few {
+		if !q.Slots[shardAt(q, place)].Settled() {
 			return
 		}
 	}
--- a/internal/core/engine/scatter.go
+++ b/internal/core/engine/scatter.go
@@ -24,11 +24,11 @@
 	e.scatterFrom(now, q, 0, fx)
 }
 
-// scatterFrom sends the first attempts of the shards from begin on.
+// scatterFrom sends the first attempts of the shards from a place of the order on.
 func (e *Engine) scatterFrom(now clock.Instant, q *query.Query, begin int, fx *Effects) {
 	id := q.ID
-	for shard := begin; shard < len(q.Slots); shard++ {
-		e.place(now, q, int32(shard), fx)
+	for place := begin; place < len(q.Slots); place++ {
+		e.place(now, q, shardAt(q, place), fx)
 		if q.ID != id || e.queries[id] != q {
 			return
 		}
--- a/internal/core/query/canary.go
+++ b/internal/core/query/canary.go
@@ -21,6 +21,8 @@
 	// Lease is held at Home while it is not zero.
 	Lease uint64
 	Home  string
+	// First is the shard that is sent first; the others follow in turn.
+	First int
 	// Barred is set once the body was found convicted.
 	Barred bool
 }
