--- a/internal/core/watch/watch.go
+++ b/internal/core/watch/watch.go
@@ -1,9 +1,10 @@
 // Package watch decides when a host calls the platform.
 //
 // Two hosts of each availability zone, by turn, keep a watch open; a waiting watch
-// counts as one call. The rest hear from peers and read for themselves after silence,
-// within a static share of the platform's rate. At most one watch and one short call
-// are in progress. Failed calls back off with jitter.
+// counts as one call. The rest hear from peers, and read the head at an interval that is
+// each host's static share of the platform's rate: a peer's word does not tell whether
+// that peer still reaches the platform. At most one watch and one short call are in
+// progress. Failed calls back off with jitter.
 package watch
 
 import (
@@ -62,11 +63,9 @@
 const (
 	// PollInterval is the baseline's interval between two reads.
 	PollInterval = time.Second
-	// silence is the time without a peer's word after which a small fleet's hosts read
-	// for themselves; a large fleet's wait for their share of fallbackRate.
-	silence = time.Second
-	// checkInterval is the least time between reads of a host that hears from peers.
-	checkInterval = 30 * time.Second
+	// readInterval is the time between two reads of the head by a host that does not
+	// watch; in a large fleet it is the host's share of fallbackRate.
+	readInterval = time.Second
 	// fallbackRate is the number of reads a second that all hosts may add up to, out of
 	// about 2,000 that the platform bears.
 	fallbackRate = 400
@@ -95,7 +94,6 @@
 	retries  retries
 
 	watching  bool
-	reached   bool
 	watchAt   time.Duration
 	calling   bool
 	callAt    time.Duration
@@ -121,19 +119,20 @@
 
 // PeerHeard tells that a peer has note number in force.
 func (w *Watch) PeerHeard(now clock.Instant, number uint64) {
-	w.reads.heard = now.Mono
 	if number > max(w.inForce, w.head) && w.reads.behind == 0 {
 		w.reads.behind = now.Mono + grace + w.jitter(w.share(grace))
 	}
 }
 
-// Ask makes the head due now.
-func (w *Watch) Ask() { w.reads.asked = true }
+// Ask makes the head due now, also while failed calls are backed off from.
+func (w *Watch) Ask() {
+	w.reads.asked = true
+	w.callAt = 0
+}
 
 // Ended tells how a call ended. A note that did not come into force is read again
 // later, since its text may have been damaged on the way.
 func (w *Watch) Ended(now clock.Instant, r *Result) {
-	w.reached = !r.Failed
 	if r.Call.Kind == KindWait {
 		w.watching = false
 		w.watchAt = now.Mono + w.watchWait.next(w.rng, r.Failed, watchGap)
@@ -178,9 +177,6 @@
 	return !w.cfg.Poll && w.inForce > 0 && w.zone.watchesAt(now.Wall)
 }
 
-// Watching reports whether this host watches now, and its last call succeeded.
-func (w *Watch) Watching(now clock.Instant) bool { return w.reached && w.watches(now) }
-
 func (w *Watch) nextCall(now clock.Instant) (Call, bool) {
 	if w.calling || now.Mono < w.callAt {
 		return Call{}, false
@@ -190,11 +186,11 @@
 	}
 	watches := w.watches(now)
 	if now.Mono >= w.headDue(watches) {
-		w.reads = headReads{last: now.Mono, heard: w.reads.heard, jitter: w.rng.Float64() * maxJitter}
+		w.reads = headReads{last: now.Mono, jitter: w.rng.Float64() * maxJitter}
 		return Call{Kind: KindHead}, true
 	}
 	if now.Mono >= w.hostsAt {
-		w.hostsAt = now.Mono + w.hostsWait(now, watches)
+		w.hostsAt = now.Mono + w.hostsWait(watches)
 		return Call{Kind: KindHosts}, true
 	}
 	return Call{}, false
@@ -202,8 +198,7 @@
 
 // headReads is what the next read of the head depends on.
 type headReads struct {
-	last  time.Duration
-	heard time.Duration
+	last time.Duration
 	// behind is when a note that a peer has in force must be looked for, 0 for never.
 	behind time.Duration
 	asked  bool
@@ -222,8 +217,7 @@
 	case watches:
 		return never
 	}
-	quiet := max(r.last, r.heard) + w.spread(silence)
-	due := min(quiet, r.last+w.spread(checkInterval))
+	due := r.last + w.spread(readInterval)
 	if r.behind > 0 {
 		due = min(due, r.behind)
 	}
@@ -236,15 +230,12 @@
 	return share + time.Duration(w.reads.jitter*float64(share))
 }
 
-// hostsWait is the time between reads of the host list. Peers pass on who leaves.
-func (w *Watch) hostsWait(now clock.Instant, watches bool) time.Duration {
-	switch {
-	case watches:
+// hostsWait is the time between two reads of the host list.
+func (w *Watch) hostsWait(watches bool) time.Duration {
+	if watches {
 		return hostsInterval
-	case w.reads.heard > 0 && now.Mono-w.reads.heard < w.spread(silence):
-		return w.spread(checkInterval)
 	}
-	return max(hostsInterval, w.spread(silence))
+	return max(hostsInterval, 2*w.spread(readInterval))
 }
 
 // share returns interval, or this host's static share of fallbackRate if that is longer.
--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
@@ -17,6 +19,8 @@
 // Limits bound what a listener takes.
 type Limits struct {
 	BodyBytes int
+	// HeaderBytes is hertz's own default where it is 0.
+	HeaderBytes int
 }
 
 // Server is one listener.
@@ -33,6 +37,10 @@
 	closeTimeout = 2 * time.Second
 )
 
+// quiet keeps the library's own log lines out of the JSON log. The level is not guarded
+// against the library's threads, so it is set once, before the first of them.
+var quiet = sync.OnceFunc(func() { hlog.SetLevel(hlog.LevelFatal) })
+
 // Start listens on address and serves the routes that route adds.
 func Start(address string, limits Limits, route func(*server.Hertz)) (*Server, error) {
 	socket, err := net.Listen("tcp", address)
@@ -46,8 +54,8 @@
 func Serve(socket net.Listener, limits Limits, route func(*server.Hertz)) (*Server, error) {
 	address := socket.Addr().String()
 	listener := newListener(socket)
-	hlog.SetLevel(hlog.LevelFatal)
-	h := server.New(
+	quiet()
+	options := []config.Option{
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(limits.BodyBytes),
@@ -55,7 +63,11 @@
 		server.WithIdleTimeout(idleTimeout),
 		server.WithExitWaitTime(closeTimeout),
 		server.WithDisablePrintRoute(true),
-	)
+	}
+	if limits.HeaderBytes > 0 {
+		options = append(options, server.WithMaxHeaderBytes(limits.HeaderBytes))
+	}
+	h := server.New(options...)
 	route(h)
 	group, err := duty.NewGroup(1, func(string, error) {})
 	if err != nil {
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"slices"
 	"time"
 
@@ -101,7 +102,7 @@
 // assignHosts gives each host a mesh address, which the note must name before they start.
 func (t *Testbed) assignHosts() error {
 	for i := range t.Layout.Hosts {
-		address, err := freeAddress()
+		address, err := freeAddress(meshIP(i))
 		if err != nil {
 			return err
 		}
@@ -117,8 +118,19 @@
 	return nil
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", loopback)
+// meshIP returns an address on loopback that is the mesh's alone, so that a port which
+// was free when the note named it is not taken by another listener of the testbed. The
+// process's number keeps testbeds that run side by side apart.
+func meshIP(i int) string {
+	const perOctet = 250
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%64, i/perOctet, 1+i%perOctet)
+}
+
+// FreeAddress returns a loopback address that nothing listens on.
+func FreeAddress() (string, error) { return freeAddress("127.0.0.1") }
+
+func freeAddress(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return "", fmt.Errorf("find a free port: %w", err)
 	}
