Check the damage of a crashing body over real hosts, also in a split fleet

Proof: TestCrashingBody sends the body through four hosts three times round, connected and in two parts.

--- /dev/null
+++ b/internal/testbed/crash_test.go
@@ -0,0 +1,78 @@
+package testbed
+
+import (
+	"testing"
+	"time"
+
+	"pollentack.example/pollentack/internal/core/release"
+	"pollentack.example/pollentack/internal/core/result"
+	"pollentack.example/pollentack/internal/edge/callerclient"
+	"pollentack.example/pollentack/internal/edge/front"
+	"pollentack.example/pollentack/internal/settings"
+	"pollentack.example/pollentack/internal/standin"
+)
+
+// crashThrough sends a body through every host, three times round, and returns the last
+// code of each host.
+func crashThrough(t *testing.T, bed *Testbed, client *callerclient.Client, body string) []result.Code {
+	t.Helper()
+	codes := make([]result.Code, len(bed.Nodes))
+	for range 3 {
+		for i, n := range bed.Nodes {
+			answer, _, err := client.Query(n.FrontAddress(), Key(0), "portal", &front.QueryBody{Query: body, Limit: 1})
+			if err != nil {
+				t.Fatal(err)
+			}
+			codes[i] = answer.Code
+		}
+	}
+	return codes
+}
+
+func deaths(bed *Testbed) int {
+	n := 0
+	for _, target := range bed.Targets {
+		n += target.Deaths()
+	}
+	return n
+}
+
+// TestCrashingBody checks the damage of a body that kills what runs it: at most two
+// targets in a connected fleet, and at most two in each part of a split one.
+func TestCrashingBody(t *testing.T) {
+	bed, err := Start(Layout{
+		Seed: 1, Zones: ThreeZones(), Hosts: 4, Callers: 1, CallerRate: 1000,
+		Services: []ServiceLayout{{
+			Name: "portal", Shards: 8, Replicas: 2, Connections: 90,
+			Policy: release.Policy{Deadline: 500 * time.Millisecond, MinCoverage: 1, Canary: true},
+			Behaviour: standin.Behaviour{
+				Latency: time.Millisecond, Slots: 16, ColdBudget: 16,
+				Crash: standin.Crash{Marker: "boom", Down: 20 * time.Millisecond},
+			},
+		}},
+	}, Options{Adjust: func(_ int, s *settings.Settings) { s.Platform.Poll = 100 * time.Millisecond }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer bed.Stop()
+	client, err := callerclient.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+
+	for i, code := range crashThrough(t, bed, client, "boom") {
+		if code != result.Quarantined {
+			t.Errorf("host %d answers %s", i, code)
+		}
+	}
+	connected := deaths(bed)
+	if connected == 0 || connected > 2 {
+		t.Fatalf("%d targets died in a connected fleet", connected)
+	}
+	bed.Partition(2, true)
+	crashThrough(t, bed, client, "boom again")
+	if n := deaths(bed) - connected; n == 0 || n > 4 {
+		t.Fatalf("%d targets died in a fleet of two parts", n)
+	}
+}
