Let a death count at any home, and let a starting host hear its peers first

Cause: cells of the fault matrix with a request that crashes targets had a third death. Traces: (1) a home that had seen one death was lost and the next counted anew; (2) a host that had just started was a fingerprint's home before it had heard the conviction (crash at 4.205 s, conviction spread at 3.81 s, facts heard 0.12 s after its start). Ruled out: convicting at the first death at a home that is new, which would bar innocent bodies that ran beside a death. Change: convictions carry a second expiry, until which one death counts at every home, told by the host that saw it and by the home; a starting host neither runs an unknown body nor gives leases until every peer was heard to hold the same facts, or 2 s.

--- a/internal/core/engine/canary.go
+++ b/internal/core/engine/canary.go
@@ -35,6 +35,8 @@
 type canaryState struct {
 	book *quarantine.Book
 	asks map[quarantine.Fingerprint]*canaryAsk
+	// settled is set once the peers' knowledge has been heard.
+	settled bool
 }
 
 // canaryAsk is what this host does about one fingerprint that is not known to be clean.
@@ -84,6 +86,12 @@
 	return true
 }
 
+// settled reports whether this host knows what its peers hold against bodies, or has
+// waited long enough for them. Before, it neither runs an unknown body nor lets another.
+func (e *Engine) settled(now clock.Instant) bool {
+	return e.canary.settled || now.Mono >= e.cfg.Settle
+}
+
 func (e *Engine) bar(now clock.Instant, q *query.Query, fx *Effects) {
 	q.Canary.Barred = true
 	e.finish(now, q, fx)
@@ -117,7 +125,7 @@
 		delete(e.canary.asks, f)
 		return
 	}
-	if len(ask.hops) == 0 {
+	if len(ask.hops) == 0 || !e.settled(now) {
 		e.askLater(now, f)
 		return
 	}
@@ -327,17 +335,32 @@
 
 func (e *Engine) endLease(now clock.Instant, f quarantine.Fingerprint, home string, lease uint64, end quarantine.End, fx *Effects) {
 	if home != e.cfg.Host {
+		e.tellDeath(now, f, end, fx)
 		fx.CanaryCalls = append(fx.CanaryCalls, CanaryCall{Host: home, Fingerprint: f, Lease: lease, End: end})
 		return
 	}
 	e.judge(now, f, lease, end, fx)
 }
 
-// judge takes the end of a lease that this host gave, and spreads a conviction.
+// tellDeath spreads the death of a target by the host that saw it, so that it counts
+// also where the home is lost before it can.
+func (e *Engine) tellDeath(now clock.Instant, f quarantine.Fingerprint, end quarantine.End, fx *Effects) {
+	if end != quarantine.TargetDied {
+		return
+	}
+	until := e.canary.book.Suspicion(now)
+	e.canary.book.Suspect(now, f, until)
+	fx.Convictions = append(fx.Convictions, Conviction{Fingerprint: uint64(f), Suspect: until})
+}
+
+// judge takes the end of a lease that this host gave, and spreads what counts against
+// the fingerprint.
 func (e *Engine) judge(now clock.Instant, f quarantine.Fingerprint, lease uint64, end quarantine.End, fx *Effects) {
-	if until, convicted := e.canary.book.Report(now, f, lease, end); convicted {
-		fx.Convictions = append(fx.Convictions, Conviction{Fingerprint: uint64(f), Until: until})
+	s := e.canary.book.Report(now, f, lease, end)
+	if end != quarantine.TargetDied || max(s.Convicted, s.Suspect) <= now.Wall {
+		return
 	}
+	fx.Convictions = append(fx.Convictions, Conviction{Fingerprint: uint64(f), Until: s.Convicted, Suspect: s.Suspect})
 }
 
 // releaseCanary sends everything that waited for a body found clean.
@@ -360,6 +383,8 @@
 	reply := CanaryReply{Key: ev.Key}
 	if c.Lease != 0 {
 		e.judge(now, c.Fingerprint, c.Lease, c.End, fx)
+	} else if !e.settled(now) {
+		reply.Answer = quarantine.Answer{Verdict: quarantine.Busy}
 	} else {
 		reply.Answer = e.canary.book.Ask(now, c.Fingerprint, c.Within)
 	}
@@ -368,7 +393,9 @@
 
 func (e *Engine) hearConvictions(now clock.Instant, convictions []Conviction) {
 	for _, c := range convictions {
-		e.canary.book.Convict(now, quarantine.Fingerprint(c.Fingerprint), c.Until)
+		f := quarantine.Fingerprint(c.Fingerprint)
+		e.canary.book.Convict(now, f, c.Until)
+		e.canary.book.Suspect(now, f, c.Suspect)
 	}
 }
 
--- a/internal/core/engine/canaryevent.go
+++ b/internal/core/engine/canaryevent.go
@@ -38,5 +38,9 @@
 	Answer quarantine.Answer
 }
 
+// Settled tells that a host that has started has heard what its peers know.
+type Settled struct{}
+
+func (*Settled) event()        {}
 func (*CanaryAnswered) event() {}
 func (*CanaryServe) event()    {}
--- a/internal/core/engine/engine.go
+++ b/internal/core/engine/engine.go
@@ -39,6 +39,9 @@
 	Queue int
 	// MaxGap is the time between steps above which the host woke late; 0 does not look.
 	MaxGap time.Duration
+	// Settle is how long after its start a host waits for its peers' knowledge before an
+	// unknown body runs.
+	Settle time.Duration
 	// Once bounds the requests that run at most once.
 	Once once.Config
 	// Quarantine bounds what is kept of bodies that ran clean or killed targets.
@@ -145,6 +148,8 @@
 		e.peerFacts(now, ev)
 	case *HostList:
 		e.hostList(ev)
+	case *Settled:
+		e.canary.settled = true
 	case *Isolation:
 		e.isolation(now, ev, fx)
 	case *Word:
--- a/internal/core/engine/event.go
+++ b/internal/core/engine/event.go
@@ -35,12 +35,20 @@
 	Leaving bool
 }
 
-// Conviction bars a request fingerprint until a wall-clock time; the latest expiry wins.
+// Conviction is what counts against a request fingerprint, each part until a wall-clock
+// time; the latest expiry of each wins.
 type Conviction struct {
 	Fingerprint uint64
-	Until       time.Duration
+	// Until is how long the fingerprint is barred, 0 for one that is not.
+	Until time.Duration
+	// Suspect is how long the death of one target counts, also at another home than the
+	// one that saw it.
+	Suspect time.Duration
 }
 
+// Expired reports whether neither part counts any more.
+func (c *Conviction) Expired(wall time.Duration) bool { return max(c.Until, c.Suspect) <= wall }
+
 // PeerFacts is what peers know; first-hand outcomes outrank it.
 type PeerFacts struct {
 	Targets     []TargetFact
--- a/internal/core/membership/facts.go
+++ b/internal/core/membership/facts.go
@@ -32,6 +32,7 @@
 // MergeConviction returns the join of two convictions of one fingerprint.
 func MergeConviction(a, b engine.Conviction) engine.Conviction {
 	a.Until = max(a.Until, b.Until)
+	a.Suspect = max(a.Suspect, b.Suspect)
 	return a
 }
 
@@ -137,13 +138,14 @@
 }
 
 func hashOf(k key, e *entry) uint64 {
-	b := make([]byte, 0, len(k.target)+48)
+	b := make([]byte, 0, len(k.target)+56)
 	b = append(b, k.target...)
 	b = binary.BigEndian.AppendUint64(b, k.fingerprint)
 	b = binary.BigEndian.AppendUint64(b, e.target.Incarnation)
 	b = binary.BigEndian.AppendUint32(b, uint32(e.target.Level))
 	b = append(b, bit(e.target.Cold), bit(e.target.Leaving))
 	b = binary.BigEndian.AppendUint64(b, uint64(e.conviction.Until))
+	b = binary.BigEndian.AppendUint64(b, uint64(e.conviction.Suspect))
 	return xxhash.Sum64(b)
 }
 
@@ -193,7 +195,7 @@
 	for k, e := range s.entries {
 		switch {
 		case k.target == "":
-			if e.conviction.Until <= wall {
+			if e.conviction.Expired(wall) {
 				s.remove(k)
 			}
 		case published(k.target):
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -173,6 +173,17 @@
 	return list
 }
 
+// Settled reports whether every peer that this host exchanges heartbeats with has been
+// heard and holds the same facts.
+func (m *Membership) Settled() bool {
+	for name := range m.standing {
+		if p := m.peers[name]; p == nil || p.note == 0 || p.hash != m.facts.hash {
+			return false
+		}
+	}
+	return m.state != nil
+}
+
 // Isolated reports whether neither the platform nor a peer is reached.
 func (m *Membership) Isolated() bool { return m.words.isolated }
 
@@ -250,7 +261,7 @@
 		}
 	}
 	for _, c := range h.Convictions {
-		if c.Until > now.Wall && m.facts.mergeConviction(c) {
+		if !c.Expired(now.Wall) && m.facts.mergeConviction(c) {
 			news.Convictions = append(news.Convictions, m.facts.entries[key{fingerprint: c.Fingerprint}].conviction)
 		}
 	}
--- a/internal/core/quarantine/book.go
+++ b/internal/core/quarantine/book.go
@@ -80,6 +80,9 @@
 	leaseEnds  time.Duration
 	// convictedUntil is on the wall clock, for it is shared with other hosts.
 	convictedUntil time.Duration
+	// suspectUntil is on the wall clock: until then the death of one target counts that
+	// another home may have seen.
+	suspectUntil time.Duration
 	// ends is on the monotonic clock; nothing is known after it.
 	ends time.Duration
 }
@@ -124,8 +127,8 @@
 		e.lease = 0
 		b.died(now, e)
 	}
-	if e.lease == 0 && e.ends <= now.Mono && e.convictedUntil <= now.Wall {
-		e.deaths, e.cleanUntil, e.convictedUntil = 0, 0, 0
+	if e.lease == 0 && e.ends <= now.Mono && max(e.convictedUntil, e.suspectUntil) <= now.Wall {
+		e.deaths, e.cleanUntil, e.convictedUntil, e.suspectUntil = 0, 0, 0, 0
 	}
 	return e
 }
@@ -133,6 +136,10 @@
 func (b *Book) died(now clock.Instant, e *entry) {
 	e.cleanUntil = 0
 	e.deaths++
+	if e.suspectUntil > now.Wall && e.deaths == 1 {
+		e.deaths++
+	}
+	e.suspectUntil = now.Wall + b.cfg.SuspectFor
 	e.ends = now.Mono + b.cfg.SuspectFor
 	if e.deaths >= maxDeaths {
 		e.convictedUntil = now.Wall + b.cfg.ConvictFor
@@ -160,22 +167,50 @@
 	return Answer{Verdict: Granted, Lease: e.lease}
 }
 
-// Report ends a lease. It returns the expiry of the conviction if this end convicts.
-func (b *Book) Report(now clock.Instant, f Fingerprint, lease uint64, end End) (until time.Duration, convicted bool) {
+// Sentence is what counts against a fingerprint, each part until a wall-clock time, 0
+// for not at all.
+type Sentence struct {
+	Convicted time.Duration
+	Suspect   time.Duration
+}
+
+// Report ends a lease and returns what counts against the fingerprint after it.
+func (b *Book) Report(now clock.Instant, f Fingerprint, lease uint64, end End) Sentence {
 	e := b.current(now, f)
 	if e == nil || lease == 0 || e.lease != lease {
-		return 0, false
+		return Sentence{}
 	}
 	e.lease = 0
 	switch end {
 	case RanClean:
-		e.deaths = 0
-		e.cleanUntil = now.Mono + b.cfg.CleanFor
-		e.ends = e.cleanUntil
+		b.clear(now, e)
 	case TargetDied:
 		b.died(now, e)
 	}
-	return e.convictedUntil, e.convictedUntil > now.Wall
+	return Sentence{Convicted: e.convictedUntil, Suspect: e.suspectUntil}
+}
+
+func (b *Book) clear(now clock.Instant, e *entry) {
+	e.deaths = 0
+	e.suspectUntil = 0
+	e.cleanUntil = now.Mono + b.cfg.CleanFor
+	e.ends = e.cleanUntil
+}
+
+// Suspicion returns until when a death seen now counts.
+func (b *Book) Suspicion(now clock.Instant) time.Duration { return now.Wall + b.cfg.SuspectFor }
+
+// Suspect takes word of the death of one target, which another host saw. Under a lease
+// of this book the word is of that lease's run, whose end is counted by its report.
+func (b *Book) Suspect(now clock.Instant, f Fingerprint, until time.Duration) {
+	until = min(until, now.Wall+b.cfg.SuspectFor)
+	if until <= now.Wall {
+		return
+	}
+	if e := b.open(now, f); e != nil && e.lease == 0 {
+		e.suspectUntil = max(e.suspectUntil, until)
+		e.cleanUntil = 0
+	}
 }
 
 // MarkClean takes the home's word that the body ran clean.
@@ -184,9 +219,7 @@
 	if e == nil || e.lease != 0 {
 		return
 	}
-	e.deaths = 0
-	e.cleanUntil = now.Mono + b.cfg.CleanFor
-	e.ends = e.cleanUntil
+	b.clear(now, e)
 }
 
 // Convict takes a conviction of another host; the latest expiry wins.
--- a/internal/core/quarantine/book_test.go
+++ b/internal/core/quarantine/book_test.go
@@ -67,6 +67,26 @@
 	}
 }
 
+// TestDeathCountsAtAnotherHome checks that a home which hears of a death convicts at the
+// next, and that the word of its own lease's run counts once.
+func TestDeathCountsAtAnotherHome(t *testing.T) {
+	f := Of("portal", []byte("crash"))
+	var now clock.Instant
+	second := NewBook(config)
+	second.Suspect(now, f, time.Minute)
+	second.Report(now, f, second.Ask(now, f, time.Second).Lease, TargetDied)
+	if v := second.Known(now, f); v != Convicted {
+		t.Errorf("after a death heard of and one seen: %d", v)
+	}
+	first := NewBook(config)
+	lease := first.Ask(now, f, time.Second).Lease
+	first.Suspect(now, f, time.Minute)
+	first.Report(now, f, lease, TargetDied)
+	if v := first.Known(now, f); v != Unknown {
+		t.Errorf("after one death, told twice: %d", v)
+	}
+}
+
 // TestBookIsBounded checks that leases in progress are never evicted.
 func TestBookIsBounded(t *testing.T) {
 	book := NewBook(config)
--- a/internal/faultmatrix/world_test.go
+++ b/internal/faultmatrix/world_test.go
@@ -29,6 +29,7 @@
 	healthPoll    = 500 * time.Millisecond
 	tickPeriod    = 100 * time.Millisecond
 	restartDelay  = time.Second
+	hostSettle    = 500 * time.Millisecond
 )
 
 // item is one thing that will happen; seq keeps equal times in order.
@@ -169,6 +170,7 @@
 		Seed:       uint64(h.index + 1),
 		MaxQueries: 1000,
 		Hedge:      true,
+		Settle:     hostSettle,
 		Once:       onceConfig(h),
 	})
 	h.control = control.New(watch.Config{Host: hostName(h.index), Zone: zoneOf(h.index)})
--- a/internal/node/meshing.go
+++ b/internal/node/meshing.go
@@ -43,6 +43,7 @@
 	control  func(control.Event) bool
 	isolated atomic.Pointer[func(bool)]
 	status   atomic.Pointer[membershipStatus]
+	settled  bool
 }
 
 // membershipStatus is what the duty last published of its core.
@@ -156,10 +157,19 @@
 		}
 		m.core.Advance(now, &fx)
 		m.carryOut(&fx)
+		m.tellSettled()
 		m.status.Store(&membershipStatus{Isolated: m.core.Isolated(), Peers: m.core.Status(now)})
 	}
 }
 
+// tellSettled tells the engine once that the peers' knowledge has been heard.
+func (m *members) tellSettled() {
+	if m.settled || !m.core.Settled() {
+		return
+	}
+	m.settled = m.queries(&engine.Settled{})
+}
+
 func (m *members) carryOut(fx *membership.Effects) {
 	if m.mesh != nil {
 		m.carryOutMesh(fx)
--- a/internal/node/queries.go
+++ b/internal/node/queries.go
@@ -20,6 +20,8 @@
 	controlReserve = 1024
 	// maxStepGap is the time between steps above which the host woke late.
 	maxStepGap = 500 * time.Millisecond
+	// settleLimit bounds the wait of a starting host for its peers' knowledge.
+	settleLimit = 2 * time.Second
 )
 
 // work is one element of the dispatch ring; one field is set.
@@ -101,6 +103,7 @@
 			Queue:      s.Limits.Queue,
 			Targets:    targetOptions(s),
 			MaxGap:     maxStepGap,
+			Settle:     settleLimit,
 			Once:       *tickets,
 		}),
 	}
--- a/internal/wire/convert.go
+++ b/internal/wire/convert.go
@@ -42,7 +42,7 @@
 		})
 	}
 	for _, c := range h.Convictions {
-		m.Convictions = append(m.Convictions, &Conviction{Fingerprint: c.Fingerprint, Until: int64(c.Until)})
+		m.Convictions = append(m.Convictions, &Conviction{Fingerprint: c.Fingerprint, Until: int64(c.Until), Suspect: int64(c.Suspect)})
 	}
 	return m
 }
@@ -75,6 +75,7 @@
 		h.Convictions = append(h.Convictions, engine.Conviction{
 			Fingerprint: c.GetFingerprint(),
 			Until:       time.Duration(c.GetUntil()),
+			Suspect:     time.Duration(c.GetSuspect()),
 		})
 	}
 	return h
