--- a/internal/core/target/eject.go
+++ b/internal/core/target/eject.go
@@ -6,7 +6,7 @@
 	// minHold and the maxima bound how long a target that refused is left alone; the
 	// hold doubles with each refusal in a row.
 	minHold            = 2 * time.Millisecond
-	maxShedHold        = 16 * time.Millisecond
+	maxShedHold        = 32 * time.Millisecond
 	maxUnreachableHold = time.Second
 	// probeRefusals is how many refusals in a row leave a target one request at a time.
 	probeRefusals = 3
