--- a/internal/core/watch/watch.go
+++ b/internal/core/watch/watch.go
@@ -94,7 +94,6 @@
 	retries  retries
 
 	watching  bool
-	reached   bool
 	watchAt   time.Duration
 	calling   bool
 	callAt    time.Duration
@@ -138,7 +137,6 @@
 // Ended tells how a call ended. A note that did not come into force is read again
 // later, since its text may have been damaged on the way.
 func (w *Watch) Ended(now clock.Instant, r *Result) {
-	w.reached = !r.Failed
 	if r.Call.Kind == KindWait {
 		w.watching = false
 		w.watchAt = now.Mono + w.watchWait.next(w.rng, r.Failed, watchGap)
@@ -183,9 +181,6 @@
 	return !w.cfg.Poll && w.inForce > 0 && w.zone.watchesAt(now.Wall)
 }
 
-// Watching reports whether this host watches now, and its last call succeeded.
-func (w *Watch) Watching(now clock.Instant) bool { return w.reached && w.watches(now) }
-
 func (w *Watch) nextCall(now clock.Instant) (Call, bool) {
 	if w.calling || now.Mono < w.callAt {
 		return Call{}, false
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -24,6 +24,8 @@
 	// Latency is the usual time to answer, Jitter the spread added to it.
 	Latency time.Duration
 	Jitter  time.Duration
+	// Spread is the mean of an exponential part of the time to answer.
+	Spread time.Duration
 	// SlowShare of the requests take SlowFactor times as long.
 	SlowShare  float64
 	SlowFactor float64
@@ -34,6 +36,7 @@
 	Warming    Warming
 	Faults     Faults
 	Runs       RunFaults
+	Crash      Crash
 }
 
 // Target is one stand-in target.
@@ -50,6 +53,7 @@
 	lastBegan   time.Time
 	cancels     map[targetapi.AttemptRef]chan struct{}
 	ledger      *Ledger
+	deaths      int
 
 	listener *restartListener
 	server   *httpd.Server
@@ -119,6 +123,9 @@
 		return
 	}
 	defer t.end(req.Attempt, &job)
+	if t.crashes(req.Body) {
+		return
+	}
 	limit := timeLeft(&req)
 	timer := time.NewTimer(min(job.work, limit))
 	defer timer.Stop()
@@ -164,6 +171,9 @@
 	if b.Jitter > 0 {
 		work += time.Duration(t.rng.Int64N(int64(b.Jitter)))
 	}
+	if b.Spread > 0 {
+		work += time.Duration(t.rng.ExpFloat64() * float64(b.Spread))
+	}
 	if t.rng.Float64() < b.SlowShare {
 		work = time.Duration(float64(work) * b.SlowFactor)
 	}
