--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -18,6 +18,8 @@
 const (
 	controlCapacity = 1024
 	controlBatch    = 64
+	// callReserve is the room for the ends of platform calls.
+	callReserve = 2
 )
 
 // controller is the duty that owns the control core.
@@ -61,7 +63,14 @@
 	return c
 }
 
-func (c *controller) put(ev control.Event) bool { return c.inbox.Put(ev) }
+// put puts an event. The ends of calls to the platform always fit: there are two calls
+// in progress at most, and a lost end would stop the reading for good.
+func (c *controller) put(ev control.Event) bool {
+	if _, ok := ev.(*control.CallEnded); ok {
+		return c.inbox.Put(ev)
+	}
+	return c.inbox.PutReserving(ev, callReserve)
+}
 
 func (c *controller) duty() duty.Duty {
 	return duty.Duty{Name: "control", Run: c.run, Stop: c.inbox.Close}
