--- a/internal/core/engine/effect.go
+++ b/internal/core/engine/effect.go
@@ -31,8 +31,9 @@
 	// Check asks to compare it with the health endpoint's before the request goes out on
 	// a new connection.
 	Check bool
-	// Quota is this host's share of the target's connections.
-	Quota int
+	// Spare is the part of this host's share of the target's connections that requests
+	// never use, left for cancellations and health checks.
+	Spare int
 }
 
 // Cancel asks a target to give up an attempt that has lost.
@@ -68,6 +69,8 @@
 	// a peer is wanted; 0 for none.
 	WordWanted time.Duration
 	OnceEffects
+	CanaryCalls   []CanaryCall
+	CanaryReplies []CanaryReply
 }
 
 // Reset empties the effects and keeps their memory.
@@ -84,4 +87,8 @@
 	fx.Convictions = fx.Convictions[:0]
 	fx.WordWanted = 0
 	fx.resetOnce()
+	clear(fx.CanaryCalls)
+	clear(fx.CanaryReplies)
+	fx.CanaryCalls = fx.CanaryCalls[:0]
+	fx.CanaryReplies = fx.CanaryReplies[:0]
 }
--- a/internal/core/engine/snapshot.go
+++ b/internal/core/engine/snapshot.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pollentack.example/pollentack/internal/core/clock"
+	"pollentack.example/pollentack/internal/core/quantile"
 	"pollentack.example/pollentack/internal/core/query"
 	"pollentack.example/pollentack/internal/core/release"
 	"pollentack.example/pollentack/internal/core/result"
@@ -64,7 +65,7 @@
 func (e *Engine) service(name string) *query.Service {
 	svc, ok := e.services[name]
 	if !ok {
-		svc = &query.Service{}
+		svc = &query.Service{Latency: quantile.Estimator{Fine: true}}
 		e.services[name] = svc
 	}
 	return svc
@@ -244,7 +245,7 @@
 	}
 	e.counters.Restarts++
 	old := *q
-	e.detach(q, fx)
+	e.detach(now, q, fx)
 	fresh := e.newQuery(old.Request, next)
 	fresh.Policy, fresh.Service = old.Policy, old.Service
 	fresh.Started, fresh.Deadline = old.Started, old.Deadline
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,10 +7,12 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/membership"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/admin"
 	"pollentack.example/pollentack/internal/edge/await"
@@ -49,9 +51,12 @@
 	admin    *admin.Admin
 
 	once    *oncePeers
+	canary  *canaryPeers
 	tickets *front.Once
 
 	stopOnce  sync.Once
+	drainOnce sync.Once
+	drainCh   chan struct{}
 	hurryOnce sync.Once
 	hurry     chan struct{}
 	failed    chan error
@@ -70,12 +75,13 @@
 func Start(s *settings.Settings, o Options) (*Node, error) {
 	n := &Node{
 		settings: s, options: o, log: o.Log, tracer: o.Tracer, clock: wallclock.New(),
-		failed: make(chan error, maxDuties), hurry: make(chan struct{}),
+		failed: make(chan error, maxDuties), hurry: make(chan struct{}), drainCh: make(chan struct{}),
 	}
 	if err := n.start(); err != nil {
 		n.Stop()
 		return nil, fmt.Errorf("start host %q: %w", s.Host.Name, err)
 	}
+	n.publishMetrics()
 	n.log.Info().Str("event", "host_started").Str("front", n.FrontAddress()).Str("admin", n.AdminAddress()).Send()
 	return n, nil
 }
@@ -120,11 +126,15 @@
 	waiters := await.New[engine.OnceAnswer]()
 	n.queries.deliverOnce = waiters.Deliver
 	n.once = &oncePeers{peers: peers, clock: n.clock, submit: n.queries.submit, waiters: waiters}
+	n.once.handedOver = func() bool { return n.queries.counted.Load().HandedOver }
 	n.tickets = front.NewOnce(n.queries.submit, waiters, n.tracer)
 	if n.dispatch, err = newDispatch(n.settings.Limits.Connections, client, n.queries.put); err != nil {
 		return err
 	}
 	n.dispatch.peers = n.once
+	n.canary = newCanaryPeers(peers, n.queries.submit)
+	n.dispatch.canary = n.canary
+	n.queries.deliverCanary = n.canary.waiters.Deliver
 	n.queries.tell = n.members.tell
 	n.queries.dispatch = n.dispatch.put
 	n.queries.connections = client.Connections
@@ -135,13 +145,14 @@
 		}
 	}
 	n.once.handle()
+	n.canary.handle()
 	return nil
 }
 
 func (n *Node) startControl() error {
 	n.control = newController(n.settings, n.clock, n.log, n.inForce)
 	n.control.peers = n.members.inForce
-	n.control.members = n.members.put
+	n.control.reached = func(began time.Duration) { n.members.put(&membership.PlatformWord{Began: began}) }
 	reader, err := platform.NewReader(n.settings.Platform.Address, n.clock, n.control.put)
 	if err != nil {
 		return err
@@ -177,7 +188,7 @@
 	n.queries.setDeliver(n.front.Deliver)
 	n.members.setIsolated(n.front.SetIsolated)
 	n.front.SetReady(func() bool { return n.control.status.Load().Note > 0 })
-	n.admin, err = admin.Start(n.settings.Listen.Admin, httpd.Limits{BodyBytes: adminBodyBytes}, func() any { return n.Status() })
+	n.admin, err = admin.Start(n.settings.Listen.Admin, httpd.Limits{BodyBytes: adminBodyBytes}, func() any { return n.Status() }, n.requestDrain)
 	return err
 }
 
@@ -189,6 +200,11 @@
 // Failed yields the error of a duty that panicked; the process must then stop.
 func (n *Node) Failed() <-chan error { return n.failed }
 
+// DrainRequested is closed once an operator has asked for the graceful shutdown.
+func (n *Node) DrainRequested() <-chan struct{} { return n.drainCh }
+
+func (n *Node) requestDrain() { n.drainOnce.Do(func() { close(n.drainCh) }) }
+
 // FrontAddress returns where callers reach the host.
 func (n *Node) FrontAddress() string { return n.front.Address() }
 
