--- a/internal/node/queries.go
+++ b/internal/node/queries.go
@@ -75,13 +75,14 @@
 
 // engineStatus is what the duty last published of its engine.
 type engineStatus struct {
-	Counters   engine.Counters          `json:"counters"`
-	InProgress int                      `json:"in_progress"`
-	Draining   bool                     `json:"draining"`
-	Admission  engine.AdmissionCounters `json:"admission"`
-	Targets    []TargetStatus           `json:"targets"`
-	Tickets    int                      `json:"tickets"`
-	HandedOver bool                     `json:"handed_over"`
+	Counters     engine.Counters          `json:"counters"`
+	InProgress   int                      `json:"in_progress"`
+	Draining     bool                     `json:"draining"`
+	Admission    engine.AdmissionCounters `json:"admission"`
+	Targets      []TargetStatus           `json:"targets"`
+	Tickets      int                      `json:"tickets"`
+	HandedOver   bool                     `json:"handed_over"`
+	Fingerprints int                      `json:"fingerprints"`
 }
 
 func newQueries(s *settings.Settings, clk wallclock.Clock, tickets *once.Config) *queries {
@@ -223,13 +224,14 @@
 
 func (q *queries) publish() {
 	q.counted.Store(&engineStatus{
-		Counters:   q.engine.Counters(),
-		InProgress: q.engine.InProgress(),
-		Draining:   q.engine.Draining(),
-		Admission:  q.engine.Admission(),
-		Targets:    q.targetStatuses(),
-		Tickets:    q.engine.Tickets().Len(),
-		HandedOver: q.engine.HandedOver(),
+		Counters:     q.engine.Counters(),
+		InProgress:   q.engine.InProgress(),
+		Draining:     q.engine.Draining(),
+		Admission:    q.engine.Admission(),
+		Targets:      q.targetStatuses(),
+		Tickets:      q.engine.Tickets().Len(),
+		HandedOver:   q.engine.HandedOver(),
+		Fingerprints: q.engine.Quarantine().Len(),
 	})
 	select {
 	case q.changed <- struct{}{}:
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -28,7 +28,11 @@
 	PlatformCalls uint64                   `json:"platform_calls"`
 	PlatformFails uint64                   `json:"platform_fails"`
 	Admission     engine.AdmissionCounters `json:"admission"`
-	Targets       []TargetStatus           `json:"targets,omitempty"`
+	// Tickets counts the records of requests that run at most once, Fingerprints the bodies
+	// known to the quarantine.
+	Tickets      int            `json:"tickets"`
+	Fingerprints int            `json:"fingerprints"`
+	Targets      []TargetStatus `json:"targets,omitempty"`
 }
 
 // Status returns the host's status at this moment.
@@ -52,6 +56,8 @@
 		PlatformCalls: n.reader.Calls(),
 		PlatformFails: n.reader.Failed(),
 		Admission:     q.Admission,
+		Tickets:       q.Tickets,
+		Fingerprints:  q.Fingerprints,
 		Targets:       q.Targets,
 	}
 }
--- a/internal/testbed/once_test.go
+++ b/internal/testbed/once_test.go
@@ -83,6 +83,9 @@
 			t.Fatalf("host %d: %q, first %q", host, again.Output, first.Output)
 		}
 	}
+	if n := b.Nodes[0].Status().Tickets; n != 1 {
+		t.Fatalf("the home's status counts %d tickets", n)
+	}
 	if n := b.ledger.BodyCount("fee 1"); n != 1 {
 		t.Fatalf("ran %d times", n)
 	}
