End a canary whose first shard was lost instead of going on

Cause: the second stage began once the first shard had settled, also where it was lost: nothing had run clean then, and a crashing body could reach three shards at once. Change: the second stage needs the first shard's answer; otherwise the query ends and the lease goes back. Figures: TestPairsOfFaults/straggler/crashing_request and host_killed/crashing_request (internal/faultmatrix) show a third death before and after, so this was not their cause; counting an unclear end as half a death was tried too, changed nothing and is not in. Conclusion: both stay red; the second is the home lost between two deaths.

--- a/internal/core/engine/canary.go
+++ b/internal/core/engine/canary.go
@@ -241,7 +241,14 @@
 		return
 	}
 	few := min(1+canaryFew, len(q.Slots))
-	if q.Canary.Stage == query.StageOne && q.Slots[q.Canary.First].Settled() {
+	first := &q.Slots[q.Canary.First]
+	if q.Canary.Stage == query.StageOne && first.Settled() && !first.Done {
+		// Nothing has run clean: what lost the shard may be the body itself.
+		e.report(now, q, quarantine.NotRun, fx)
+		e.finish(now, q, fx)
+		return
+	}
+	if q.Canary.Stage == query.StageOne && first.Done {
 		q.Canary.Stage = query.StageFew
 		for place := 1; place < few && e.queries[q.ID] == q; place++ {
 			e.place(now, q, shardAt(q, place), fx)
