--- a/internal/core/engine/canary.go
+++ b/internal/core/engine/canary.go
@@ -388,11 +388,12 @@
 func (e *Engine) serveCanary(now clock.Instant, ev *CanaryServe, fx *Effects) {
 	c := &ev.Call
 	reply := CanaryReply{Key: ev.Key}
-	if c.Lease != 0 {
+	switch {
+	case c.Lease != 0:
 		e.judge(now, c.Fingerprint, c.Lease, c.End, fx)
-	} else if !e.settled(now) {
+	case !e.settled(now):
 		reply.Answer = quarantine.Answer{Verdict: quarantine.Busy}
-	} else {
+	default:
 		reply.Answer = e.canary.book.Ask(now, c.Fingerprint, c.Within)
 	}
 	fx.CanaryReplies = append(fx.CanaryReplies, reply)
--- a/internal/faultmatrix/world_test.go
+++ b/internal/faultmatrix/world_test.go
@@ -12,6 +12,7 @@
 	"pollentack.example/pollentack/internal/core/clock"
 	"pollentack.example/pollentack/internal/core/control"
 	"pollentack.example/pollentack/internal/core/engine"
+	"pollentack.example/pollentack/internal/core/membership"
 	"pollentack.example/pollentack/internal/core/quarantine"
 	"pollentack.example/pollentack/internal/core/query"
 	"pollentack.example/pollentack/internal/core/release"
@@ -117,8 +118,8 @@
 	life        int
 	// heard holds the newest facts that the host told or was told, by target.
 	heard map[string]engine.TargetFact
-	// convicted holds the latest expiry of each fingerprint, in the same way.
-	convicted map[uint64]time.Duration
+	// convicted holds what counts against each fingerprint, in the same way.
+	convicted map[uint64]engine.Conviction
 }
 
 func newWorld(seed uint64) *world {
@@ -163,7 +164,7 @@
 	h.started = h.w.now
 	h.wakeAt = -1
 	h.heard = map[string]engine.TargetFact{}
-	h.convicted = map[uint64]time.Duration{}
+	h.convicted = map[uint64]engine.Conviction{}
 	h.engine = engine.New(engine.Config{
 		Host:       hostName(h.index),
 		Zone:       zoneOf(h.index),
@@ -196,7 +197,7 @@
 			facts.Targets = append(facts.Targets, peer.heard[name])
 		}
 		for _, fingerprint := range slices.Sorted(maps.Keys(peer.convicted)) {
-			facts.Convictions = append(facts.Convictions, engine.Conviction{Fingerprint: fingerprint, Until: peer.convicted[fingerprint]})
+			facts.Convictions = append(facts.Convictions, peer.convicted[fingerprint])
 		}
 		h.hear(facts)
 	}
@@ -210,7 +211,7 @@
 
 func (h *host) keep(facts *engine.PeerFacts) {
 	for _, c := range facts.Convictions {
-		h.convicted[c.Fingerprint] = max(h.convicted[c.Fingerprint], c.Until)
+		h.convicted[c.Fingerprint] = membership.MergeConviction(c, h.convicted[c.Fingerprint])
 	}
 	for _, f := range facts.Targets {
 		if old, ok := h.heard[f.Target]; !ok || f.Incarnation >= old.Incarnation {
