--- a/internal/edge/targetclient/run.go
+++ b/internal/edge/targetclient/run.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"errors"
 
-	errs "github.com/cloudwego/hertz/pkg/common/errors"
 	"go.opentelemetry.io/otel/attribute"
 
 	"pollentack.example/pollentack/internal/core/engine"
@@ -55,7 +53,7 @@
 	reply.Elapsed = c.clock.Now().Mono - begin
 	if err != nil {
 		reply.Outcome = outcomeOfError(err)
-		reply.Disconnected = !errors.Is(err, errs.ErrTimeout)
+		reply.Disconnected = disconnected(err)
 	} else {
 		fillRun(reply, &answer)
 	}
--- a/internal/experiment/once.go
+++ b/internal/experiment/once.go
@@ -33,7 +33,7 @@
 	onceSends = 6
 	// onceKillPause is the time between two kills of a host.
 	onceKillPause    = 50 * time.Millisecond
-	onceLostShare    = 0.05
+	onceCutShare     = 0.05
 	onceDeclineShare = 0.05
 	onceService      = "fee"
 	oncePoll         = 100 * time.Millisecond
@@ -103,7 +103,7 @@
 			Policy: release.Policy{Deadline: time.Second, MinCoverage: 1},
 			Behaviour: standin.Behaviour{
 				Latency: 5 * time.Millisecond, Jitter: 5 * time.Millisecond, Slots: 16, ColdBudget: 16,
-				Runs: standin.RunFaults{LostShare: onceLostShare, DeclineShare: onceDeclineShare},
+				Runs: standin.RunFaults{CutShare: onceCutShare, DeclineShare: onceDeclineShare},
 			},
 		}},
 	}, testbed.Options{Adjust: func(_ int, s *settings.Settings) { s.Platform.Poll = oncePoll }})
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -17,6 +17,8 @@
 type RunFaults struct {
 	// LostShare of the requests are run, and then the connection breaks.
 	LostShare float64
+	// CutShare of the requests are run, and then the reply is cut short.
+	CutShare float64
 	// DeclineShare of the requests are answered with not_run.
 	DeclineShare float64
 }
@@ -94,6 +96,10 @@
 		return
 	}
 	j.answered = true
+	if t.draw() < t.runFaults().CutShare {
+		c.Data(http.StatusOK, "application/json", []byte("{"))
+		return
+	}
 	c.JSON(http.StatusOK, t.runReply(targetapi.StatusOK, fmt.Sprintf("%s ran %q as execution %d", t.Name, req.Body, n)))
 }
 
