--- a/internal/core/engine/gate.go
+++ b/internal/core/engine/gate.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// queueSweep is the time between two looks for waiters past hope.
+	// queueSweep is the time between two looks for doomed waiters: those that cannot end before their deadline.
 	queueSweep = 10 * time.Millisecond
 	// capacityAge is how long a service's capacity is used before it is worked out again.
 	capacityAge = 20 * time.Millisecond
@@ -39,7 +39,7 @@
 	Waiting     int    `json:"waiting"`
 	RateLimited uint64 `json:"rate_limited"`
 	QueueFull   uint64 `json:"queue_full"`
-	PastHope    uint64 `json:"past_hope"`
+	Doomed      uint64 `json:"doomed"`
 }
 
 // waiter is one admitted request and its deadline, which counts from its arrival.
@@ -216,7 +216,7 @@
 	return max(1, min(least, total/max(1, len(p.Groups))))
 }
 
-// enqueue lets an admitted request wait. With the queue full, what is past hope goes
+// enqueue lets an admitted request wait. With the queue full, what is doomed goes
 // first, then the newest of the least critical service's longest caller.
 func (e *Engine) enqueue(now clock.Instant, caller *release.Caller, svc *release.Service, plan *query.Plan, w *waiter, fx *Effects) {
 	sg := e.gate.service(svc.Name)
@@ -267,13 +267,13 @@
 		late := sg.queue.Remove(func(w *admission.Waiter[*waiter]) bool { return w.Hopeless <= now.Mono })
 		e.gate.size -= len(late)
 		for i := range late {
-			e.refusePastHope(late[i].Value, fx)
+			e.refuseDoomed(late[i].Value, fx)
 		}
 	}
 }
 
-func (e *Engine) refusePastHope(w *waiter, fx *Effects) {
-	e.gate.counters.PastHope++
+func (e *Engine) refuseDoomed(w *waiter, fx *Effects) {
+	e.gate.counters.Doomed++
 	e.refuse(w.req.Key, result.DeadlineTooShort, "no answer would come before the deadline", fx)
 }
 
@@ -313,7 +313,7 @@
 		w, _ := sg.queue.Pop()
 		e.gate.size--
 		if w.Hopeless <= now.Mono {
-			e.refusePastHope(w.Value, fx)
+			e.refuseDoomed(w.Value, fx)
 			continue
 		}
 		e.start(now, w.Value, svc, plan, fx)
