Let a refused caller read its answer before the connection closes

Cause: a listener answers a header or a body above its limit before it has read the request and closes the connection. Ruled out: a longer write buffer (the caller's own bytes cause the reset). Change: after status 408, 413 or 431 the listener closes its sending side, then reads and drops up to 1 MiB for up to 500 ms. Connections closed for any other reason are closed at once, so a request that crosses a close is never read.

--- a/internal/edge/httpd/listener.go
+++ b/internal/edge/httpd/listener.go
@@ -1,13 +1,25 @@
 package httpd
 
 import (
+	"bytes"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
+const (
+	// lingerTimeout is how long a refused caller may go on writing before its connection
+	// is closed; net/http waits as long.
+	lingerTimeout = 500 * time.Millisecond
+	// maxLingerBytes bounds what is read and dropped of a refused request. A caller that
+	// sends more is not waiting for its answer.
+	maxLingerBytes = 1 << 20
+)
+
 // listener tracks its connections, so that those in keep-alive can be ended at a
 // shutdown instead of being waited for.
 type listener struct {
@@ -66,6 +78,8 @@
 	listener *listener
 	// waitsSince is when the wait for bytes under a deadline began, zero for none.
 	waitsSince time.Time
+	// unread is set while the last answer refused a request that was not read to its end.
+	unread atomic.Bool
 }
 
 // SetReadDeadline has no effect once the listener ends idle connections. Where the
@@ -89,6 +103,9 @@
 func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		if n > 0 {
+			c.unread.Store(false)
+		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.extend() {
 			return n, err
 		}
@@ -110,8 +127,47 @@
 	return c.Conn.SetReadDeadline(due) == nil
 }
 
+// Write writes, and notes answers after which the caller may still be writing.
+func (c *conn) Write(b []byte) (int, error) {
+	if refusesUnread(b) {
+		c.unread.Store(true)
+	}
+	return c.Conn.Write(b)
+}
+
+// refusesUnread reports whether an answer begins with a status that is given before a
+// request has been read to its end: 408, 413 or 431.
+func refusesUnread(answer []byte) bool {
+	status, ok := bytes.CutPrefix(answer, []byte("HTTP/1.1 "))
+	if !ok || len(status) < 3 {
+		return false
+	}
+	switch string(status[:3]) {
+	case "408", "413", "431":
+		return true
+	}
+	return false
+}
+
+// linger lets a caller that still writes read its answer: closing a connection with
+// unread bytes resets it, and a reset discards the answer.
+func (c *conn) linger() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	if c.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
+	}
+	// Either end of the rest will do: the caller's close, the time or the bound on bytes.
+	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+}
+
 // Close ends the connection and its tracking.
 func (c *conn) Close() error {
+	if c.unread.Load() {
+		c.linger()
+	}
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
