A list that is older than what is known takes nothing back

Cause: at the end of a list, evacuations that it does not hold were taken back without a look at the revision, so that a list from a replica that lags ended an evacuation that was known from a peer or a watch. Targets were judged by their own revision; both go one way now, by the revision of the stored item. Second, a store that answers each watch with 410 was listed again at once, as fast as it answers; a list now follows a lost history after gatherPause. Tests: TestOlderListTakesNothingBack and TestStoreWithoutHistoryIsNotPressed fail before the change. TestListAfterLostHistoryRemovesWhatIsGone asked for the list in the same step; it now asks for it after exactly gatherPause.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -23,7 +23,7 @@
 	// call are together below the least bound on missing a change, which is 5 s.
 	watchWait = 3500 * time.Millisecond
 	// gatherPause is the time between a change and the next watch, so that a burst of
-	// changes costs few calls. It is far below any bound on applying a change.
+	// changes costs few calls, and before a list where the history was gone. It is far below any bound on applying a change.
 	gatherPause = 200 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed call. It doubles with each
 	// failure in a row; every call is priced, failed ones too. A host that the store turned
@@ -136,6 +136,7 @@
 		f.calling = false
 		fx.Records = append(fx.Records, decision.Warning("store_history_gone", decision.Uint("revision", f.view.Revision)))
 		f.beginList(now)
+		f.callAt += gatherPause
 	case *CallFailed:
 		f.failed(now, ev, fx)
 	}
@@ -227,18 +228,13 @@
 	fx.Progress = &Progress{Revision: f.view.Revision, Fresh: true}
 }
 
-// endList removes what the list no longer holds and begins to watch.
+// endList removes what the list no longer holds and begins to watch. A list that is older
+// than an item says nothing about it.
 func (f *Follower) endList(now clock.Instant, fx *Effects) {
-	for name, t := range f.view.Targets {
-		if !f.listed[itemName{TargetItem, name}] && t.Revision <= f.listedAt {
-			f.bury(TargetItem, name, fx)
-			f.scheduleRemoval(now, name, f.listedAt, fx)
-		}
-	}
-	for zone := range f.view.ZonesOut {
-		if !f.listed[itemName{ZoneItem, zone}] {
-			f.bury(ZoneItem, zone, fx)
-			f.setZone(zone, false, f.listedAt, fx)
+	for key := range f.items {
+		it := f.items[key]
+		if !it.Deleted && it.Revision <= f.listedAt && !f.listed[itemName{it.Kind, it.Name}] {
+			f.bury(now, &it, fx)
 		}
 	}
 	f.phase = watching
@@ -249,16 +245,20 @@
 	f.listed = nil
 }
 
-// bury records the deletion of an item that a list no longer holds, for peers that
-// follow this host.
-func (f *Follower) bury(kind Kind, name string, fx *Effects) {
-	for key, it := range f.items {
-		if it.Kind == kind && it.Name == name {
-			it = Item{Key: key, Kind: kind, Name: name, Revision: f.listedAt, Deleted: true}
-			f.items[key] = it
-			fx.Stored = append(fx.Stored, it)
-		}
+// bury takes an item as deleted that a list no longer holds, also for the peers that
+// follow this host. The configuration in force stays.
+func (f *Follower) bury(now clock.Instant, it *Item, fx *Effects) {
+	switch it.Kind {
+	case TargetItem:
+		f.scheduleRemoval(now, it.Name, f.listedAt, fx)
+	case ZoneItem:
+		f.setZone(it.Name, false, f.listedAt, fx)
+	default:
+		return
 	}
+	gone := Item{Key: it.Key, Kind: it.Kind, Name: it.Name, Revision: f.listedAt, Deleted: true}
+	f.items[it.Key] = gone
+	fx.Stored = append(fx.Stored, gone)
 }
 
 func (f *Follower) changes(now clock.Instant, ev *Changes, fx *Effects) {
--- a/internal/core/discovery/discovery_test.go
+++ b/internal/core/discovery/discovery_test.go
@@ -120,6 +120,7 @@
 		t.Fatal("the zone is not out")
 	}
 	w.step(&HistoryGone{})
+	w.pass(gatherPause)
 	if w.fx.Call == nil || w.fx.Call.Watch {
 		t.Fatalf("call is %+v, want a list", w.fx.Call)
 	}
@@ -341,3 +342,45 @@
 		t.Errorf("second call is %+v, want a watch", c)
 	}
 }
+
+// TestOlderListTakesNothingBack lists from a replica that lags behind what is known.
+func TestOlderListTakesNothingBack(t *testing.T) {
+	w := listed(t)
+	w.step(&Changes{Items: []Item{
+		configItem(18, 9), targetItem(19, "b"), {Key: "z/z0", Kind: ZoneItem, Name: "z0", Revision: 20},
+	}, Revision: 20})
+	w.pass(time.Second)
+	w.step(&HistoryGone{})
+	w.pass(time.Second)
+	w.step(&Page{Items: []Item{configItem(3, 7), targetItem(5, "a")}, Revision: 10})
+	w.pass(time.Minute)
+	v := w.f.View()
+	if v.Config.Version != 9 || v.Targets["a"] == nil || v.Targets["b"] == nil || !v.ZonesOut["z0"] || v.Revision != 20 {
+		t.Errorf("after an older list: version %d, targets %v, zones out %v, revision %d", v.Config.Version, v.Targets, v.ZonesOut, v.Revision)
+	}
+	w.step(&HistoryGone{})
+	w.pass(time.Second)
+	w.step(&Page{Items: []Item{configItem(18, 9), targetItem(5, "a")}, Revision: 30})
+	w.pass(time.Minute)
+	if v := w.f.View(); v.Targets["b"] != nil || v.ZonesOut["z0"] {
+		t.Errorf("after a newer list: targets %v, zones out %v", v.Targets, v.ZonesOut)
+	}
+}
+
+// TestStoreWithoutHistoryIsNotPressed answers each watch that the history is gone.
+func TestStoreWithoutHistoryIsNotPressed(t *testing.T) {
+	w := listed(t)
+	const rounds = 10
+	begin := w.now.Mono
+	for range rounds {
+		w.step(&HistoryGone{})
+		for w.fx.Call == nil {
+			due, _ := w.f.NextWake()
+			w.pass(due - w.now.Mono)
+		}
+		w.step(&Page{Items: []Item{configItem(3, 7), targetItem(5, "a")}, Revision: 10})
+	}
+	if took := w.now.Mono - begin; took < rounds*gatherPause {
+		t.Errorf("%d lists in %v, want a pause of %v before each", rounds, took, gatherPause)
+	}
+}
