Read the answer of a target that rejects a request before it is sent whole

Cause: the body was written whole before the reply was looked at. A target that answers early and closes breaks the write, and its "not run" was lost: a request that may run once ended with 502 although nothing had run it. One that answers early and stops reading held the write to the deadline. Change: a write that makes no progress for 20 ms, or that fails, looks for an answer that waits. Such a connection is not kept, as the rest of the request is still due on it.

--- a/internal/edge/upstream/conn.go
+++ b/internal/edge/upstream/conn.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -28,6 +31,9 @@
 	// hold few leave room for their own return.
 	extraKeepAlive  = time.Second
 	readBufferBytes = 4 << 10
+	// stalledWrite is how long a target may take no bytes before the sender looks for an
+	// early answer. An answer that waits unread delays only a rejected request.
+	stalledWrite = 20 * time.Millisecond
 )
 
 // conn is one connection to a target.
@@ -57,27 +63,73 @@
 	return err
 }
 
+// send writes a request until a time, or until the peer has begun to answer. A peer may
+// answer before it has read the whole request and read on later, or never; whole is false
+// where it got only a part.
+func (c *conn) send(request []byte, until time.Time) (whole bool, err error) {
+	for {
+		if err := c.SetWriteDeadline(earlier(until, time.Now().Add(stalledWrite))); err != nil {
+			return false, err
+		}
+		n, err := c.Write(request)
+		request = request[n:]
+		switch {
+		case err == nil:
+			return true, nil
+		case c.answered():
+			return false, nil
+		case !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(until):
+			return false, err
+		}
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // quiet reports whether an idle connection is open and has brought no bytes: what comes
 // without a request belongs to none.
 func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
+	return c.reader.Buffered() == 0 && errors.Is(c.peek(), unix.EAGAIN)
+}
+
+// answered reports whether bytes of the peer wait to be read, also on a connection that
+// the peer has closed since.
+func (c *conn) answered() bool {
+	return c.reader.Buffered() > 0 || c.peek() == nil
+}
+
+// peek looks for bytes that wait: nil where there are some, EAGAIN where the connection
+// is open and has none.
+func (c *conn) peek() error {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return unix.EAGAIN
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return err
 	}
+	var n int
 	var peeked error
 	var b [1]byte
 	// Control and not Read, which fails on the deadline of the last exchange.
 	err = raw.Control(func(fd uintptr) {
-		_, _, peeked = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _, peeked = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && peeked == unix.EAGAIN
+	switch {
+	case err != nil:
+		return err
+	case peeked != nil:
+		return peeked
+	case n == 0:
+		return io.EOF
+	}
+	return nil
 }
 
 // pool keeps idle connections by target.
--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -188,10 +188,12 @@
 // roundTrip sends the request and reads its reply; keep tells whether the connection may
 // carry another exchange.
 func (c *Client) roundTrip(s *relay.Send, conn *conn, left time.Duration, traceParent string) (reply *relay.Reply, keep bool) {
-	if err := conn.SetDeadline(time.Now().Add(left + replyGrace)); err != nil {
+	until := time.Now().Add(left + replyGrace)
+	if err := conn.SetReadDeadline(until); err != nil {
 		return ended(relay.Lost, err.Error()), false
 	}
-	if _, err := conn.Write(c.codec.AppendRequest(nil, s, left, traceParent)); err != nil {
+	whole, err := conn.send(c.codec.AppendRequest(nil, s, left, traceParent), until)
+	if err != nil {
 		return failed("write", err), false
 	}
 	for range maxStrayReplies {
@@ -207,7 +209,7 @@
 			continue
 		}
 		reply = c.codec.DecodeReply(s, resp, body)
-		return reply, c.reusable(conn, resp)
+		return reply, whole && c.reusable(conn, resp)
 	}
 	return ended(relay.Malformed, "only replies to earlier requests"), false
 }
