Enforce the published limit on header bytes

Cause: a request header was bounded by the listener's own 64 KiB only, while the configuration in force may publish less. Change: the limit is decoded and a longer header is refused with 431 (result code 118, header_too_large) before the request reaches the relay. The time limit on a header stays open.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -65,6 +65,8 @@
 
 // Limits bound what a caller may send. Zero values set no bound.
 type Limits struct {
+	// HeaderBytes bounds the header without the request line.
+	HeaderBytes int
 	BodyBytes   int
 	IdleTimeout time.Duration
 }
--- a/internal/core/result/code.go
+++ b/internal/core/result/code.go
@@ -33,6 +33,7 @@
 	NotReady         Code = 115
 	Shed             Code = 116
 	BodyTooLarge     Code = 117
+	HeaderTooLarge   Code = 118
 )
 
 // Codes of kind "ran in part": some targets acted on the request.
@@ -89,6 +90,7 @@
 	{NotReady, "not_ready", 503, "this host has no configuration in force yet"},
 	{Shed, "shed", 503, "load shedding: every target that saw the request declined it"},
 	{BodyTooLarge, "body_too_large", 413, "the request body is above the published limit"},
+	{HeaderTooLarge, "header_too_large", 431, "the request header is above the published limit"},
 	{CoverageTooLow, "coverage_too_low", 504, "fewer shards answered than the service's policy demands"},
 	{DeadlineExceeded, "deadline_exceeded", 504, "the deadline passed while targets were running the request"},
 	{SnapshotRetired, "snapshot_retired", 504, "the snapshot was retired and no time was left to begin again"},
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -111,6 +111,9 @@
 
 func (e *Entry) ask(ctx context.Context, c *app.RequestContext) relay.Answer {
 	limits := e.limits.Load()
+	if size := len(c.Request.Header.RawHeaders()); limits.HeaderBytes > 0 && size > limits.HeaderBytes {
+		return e.refuse("", result.HeaderTooLarge, fmt.Sprintf("%d bytes of header, limit %d", size, limits.HeaderBytes))
+	}
 	if limits.BodyBytes > 0 && len(c.Request.Body()) > limits.BodyBytes {
 		return e.refuse("", result.BodyTooLarge, fmt.Sprintf("%d bytes, limit %d", len(c.Request.Body()), limits.BodyBytes))
 	}
