Changed settings come into force while a host serves

Cause: SIGHUP read and logged the settings file, but seeds, the bound on retries, the grace time and the memory limit took effect only at the next start, and a change without a signal was never noticed. Change: Gateway.Reload hands the changed settings to the duties as events; the command looks at the file each 5 s (a poll: the platform has no inotify) and at once on SIGHUP. Name, place, addresses and store still need a start, which the log line tells. A file with a fault leaves the settings in force. Tests: TestSettingsChangeWhileServing (a real process: signal, no signal, a fault), TestRetryChangeBindsAtOnce, TestChangedSeedsAreUsed. The test of a settings file that names itself moved with its function from platform/ to the command.

--- a/cmd/pollentack/gateway.go
+++ b/cmd/pollentack/gateway.go
@@ -6,8 +6,8 @@
 	"io"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -30,11 +30,8 @@
 // logCapacity is the number of log lines that wait for a slow reader.
 const logCapacity = 4096
 
-// memoryShare is the part of the memory limit at which the runtime collects harder.
-const memoryShare = 0.7
-
 // Run serves until SIGINT or SIGTERM, then shuts down gracefully. SIGHUP reads the
-// settings file again.
+// settings file again; a change without a signal is noticed after a while.
 func (cmd *gatewayCmd) Run(stdout io.Writer) error {
 	path := cmd.Settings
 	if path == "" {
@@ -43,7 +40,8 @@
 	if path == "" {
 		return usage(errors.New("no settings file: give --settings"))
 	}
-	s, err := platform.LoadSettings(path)
+	file := &settingsFile{path: path}
+	s, err := file.load()
 	if err != nil {
 		return usage(err)
 	}
@@ -51,13 +49,11 @@
 		fmt.Fprintf(stdout, "%s: settings of host %q in availability zone %q are valid\n", path, s.Host, s.Zone)
 		return nil
 	}
-	return cmd.serve(s, path)
+	return cmd.serve(s, file)
 }
 
-func (cmd *gatewayCmd) serve(s *gateway.Settings, path string) error {
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
-	}
+func (cmd *gatewayCmd) serve(s *gateway.Settings, file *settingsFile) error {
+	limitMemory(s)
 	lines := logs.NewAsync(os.Stdout, logCapacity)
 	group, err := duty.NewGroup(1, func(string, error) {})
 	if err != nil {
@@ -80,7 +76,7 @@
 		log.Error().Str("event", "start_failed").Err(err).Send()
 		return err
 	}
-	err = await(g, signals, path, &log)
+	err = await(g, signals, file, &log)
 	g.Stop()
 	err = errors.Join(err, tracer.Close())
 	log.Info().Str("event", "gateway_stopped").Uint64("log_lines_dropped", lines.Dropped()).Send()
@@ -95,12 +91,16 @@
 }
 
 // await returns once the gateway must stop.
-func await(g *gateway.Gateway, signals <-chan os.Signal, path string, log *zerolog.Logger) error {
+func await(g *gateway.Gateway, signals <-chan os.Signal, file *settingsFile, log *zerolog.Logger) error {
+	poll := time.NewTicker(settingsPoll)
+	defer poll.Stop()
 	for {
 		select {
+		case <-poll.C:
+			file.reload(g, false, log)
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
-				reload(path, log)
+				file.reload(g, true, log)
 				continue
 			}
 			log.Info().Str("event", "stop_requested").Str("signal", sig.String()).Send()
@@ -110,14 +110,3 @@
 		}
 	}
 }
-
-// reload reads the settings file again. Addresses and the host's place take effect with
-// the next start only, so that a reload never disturbs a connection.
-func reload(path string, log *zerolog.Logger) {
-	s, err := platform.LoadSettings(path)
-	if err != nil {
-		log.Error().Str("event", "reload_failed").Err(err).Send()
-		return
-	}
-	log.Info().Str("event", "settings_reloaded").Str("store", s.Store).Int("seeds", len(s.Seeds)).Send()
-}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -56,12 +56,16 @@
 	OK      bool
 }
 
+// Seeds replaces the addresses at which other hosts are looked for.
+type Seeds struct{ Addresses []string }
+
 // Leave tells the peers that this host stops.
 type Leave struct{}
 
 func (*Start) event()     {}
 func (*Heard) event()     {}
 func (*Exchanged) event() {}
+func (*Seeds) event()     {}
 func (*Leave) event()     {}
 
 // Exchange asks for one exchange of members with a host.
@@ -110,8 +114,11 @@
 
 // New returns a fleet of this host alone. Seeds are addresses.
 func New(self Member, seeds []string, seed uint64) *Fleet {
-	others := slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == self.Address })
-	return &Fleet{self: self, seeds: others, rng: rand.New(rand.NewPCG(seed, 3)), members: map[string]*state{}}
+	return &Fleet{self: self, seeds: without(seeds, self.Address), rng: rand.New(rand.NewPCG(seed, 3)), members: map[string]*state{}}
+}
+
+func without(seeds []string, own string) []string {
+	return slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == own })
 }
 
 // Digest is a hash over all members that are known.
@@ -159,6 +166,8 @@
 		f.heard(ev, fx)
 	case *Exchanged:
 		f.exchanged(now, ev, fx)
+	case *Seeds:
+		f.seeds = without(ev.Addresses, f.self.Address)
 	case *Leave:
 		f.leaving = true
 	}
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -222,3 +222,21 @@
 		}
 	})
 }
+
+// TestChangedSeedsAreUsed gives a host that knows nobody another seed.
+func TestChangedSeedsAreUsed(t *testing.T) {
+	w := newNetwork(2, "nowhere")
+	w.pass(3 * time.Second)
+	if n := len(w.fleets[0].Members()); n != 1 {
+		t.Fatalf("host 0 knows %d members without a seed that answers", n)
+	}
+	var fx Effects
+	w.fleets[0].Step(w.now, &Seeds{Addresses: []string{w.members[0].Address, w.members[1].Address}}, &fx)
+	w.carry(0, &fx)
+	w.pass(3 * time.Second)
+	for i, f := range w.fleets {
+		if n := len(f.Members()); n != 2 {
+			t.Errorf("host %d knows %d members", i, n)
+		}
+	}
+}
--- a/internal/core/relay/engine.go
+++ b/internal/core/relay/engine.go
@@ -116,6 +116,9 @@
 		e.setPeers(ev.Members, fx)
 	case *Drain:
 		e.drain(now, ev.Until)
+	case *RetryChanged:
+		e.cfg.Retry = ev.Policy
+		e.share()
 	case *HandoffEnded:
 		e.handoffEnded(now, ev, fx)
 	}
--- a/internal/core/relay/event.go
+++ b/internal/core/relay/event.go
@@ -105,6 +105,9 @@
 // by Until on the monotonic clock.
 type Drain struct{ Until time.Duration }
 
+// RetryChanged puts another bound on retries in force.
+type RetryChanged struct{ Policy RetryPolicy }
+
 // Reply is the end of one attempt.
 type Reply struct {
 	Attempt AttemptID
@@ -118,12 +121,13 @@
 	PeerFailed bool
 }
 
-func (*Submit) event()     {}
-func (*CallerGone) event() {}
-func (*InForce) event()    {}
-func (*Peers) event()      {}
-func (*Reply) event()      {}
-func (*Drain) event()      {}
+func (*Submit) event()       {}
+func (*CallerGone) event()   {}
+func (*InForce) event()      {}
+func (*Peers) event()        {}
+func (*Reply) event()        {}
+func (*Drain) event()        {}
+func (*RetryChanged) event() {}
 
 // Send asks for one request to one target.
 type Send struct {
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -335,6 +335,21 @@
 	})
 }
 
+// TestRetryChangeBindsAtOnce takes the retry budget away from a host that had spent none.
+func TestRetryChangeBindsAtOnce(t *testing.T) {
+	w := newWorld(t, 0)
+	w.at["one@z0"] = status(500)
+	w.warmUp()
+	w.step(&RetryChanged{Policy: RetryPolicy{}})
+	for range 20 {
+		w.submit("/one/x")
+		w.pass(50 * time.Millisecond)
+	}
+	if len(w.sends) != 20 {
+		t.Errorf("%d sends for 20 requests without a retry budget", len(w.sends))
+	}
+}
+
 // TestSplitGivesEachPartItsShare counts over many requests.
 func TestSplitGivesEachPartItsShare(t *testing.T) {
 	s := &routeState{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,8 @@
 	metrics  *admin.Admin
 	latency  *latencies
 	draining atomic.Bool
+	// grace is Settings.Grace as it is in force.
+	grace    atomic.Int64
 	stopOnce sync.Once
 	failed   chan error
 }
@@ -82,6 +84,7 @@
 	if err := g.start(&o); err != nil {
 		return nil, fmt.Errorf("start gateway %q: %w", s.Host, err)
 	}
+	g.grace.Store(int64(s.Grace))
 	g.publishMetrics()
 	g.log.Info().Str("event", "gateway_started").Str("front", g.entry.Address()).
 		Str("ready", g.ready.Address()).Str("metrics", g.metrics.Address()).Str("store", s.Store).Send()
@@ -204,6 +207,21 @@
 // InProgress returns the number of requests that have been read and not answered.
 func (g *Gateway) InProgress() int { return g.entry.InProgress() }
 
+// Reload puts changed settings in force: seeds, the bound on retries and the grace time.
+// Addresses and the host's place stay until the next start, so that a reload never
+// disturbs a connection.
+func (g *Gateway) Reload(s *Settings) {
+	g.grace.Store(int64(s.Grace))
+	g.fleet.put(&fleet.Seeds{Addresses: s.Seeds})
+	if !g.relaying.put(&relay.RetryChanged{Policy: s.Retry}) {
+		g.log.Error().Str("event", "reload_dropped").Str("reason", "the relay's ring is full").Send()
+		return
+	}
+	g.log.Info().Str("event", "settings_in_force").Strs("seeds", s.Seeds).Dur("grace", s.Grace).
+		Float64("retry_ratio", s.Retry.Ratio).Float64("retry_slack", s.Retry.Slack).
+		Bool("start_needed", g.settings.fixed() != s.fixed()).Send()
+}
+
 const (
 	// DefaultLeave is how long a stopping host still takes what comes: the balancer asks each
 	// second and takes it out after two refusals.
@@ -222,15 +240,15 @@
 func (g *Gateway) Stop() { g.stopOnce.Do(g.stop) }
 
 func (g *Gateway) stop() {
-	begin := time.Now()
+	begin, grace := time.Now(), time.Duration(g.grace.Load())
 	g.draining.Store(true)
 	g.entry.Drain()
 	g.fleet.put(&fleet.Leave{})
-	until := g.clock.Now().Mono + g.settings.Grace - stopMargin - answerTime
+	until := g.clock.Now().Mono + grace - stopMargin - answerTime
 	if !g.relaying.put(&relay.Drain{Until: until}) {
 		g.log.Error().Str("event", "drain_dropped").Str("reason", "the relay's ring is full").Send()
 	}
-	for time.Since(begin) < g.settings.Grace-stopMargin {
+	for time.Since(begin) < grace-stopMargin {
 		if time.Since(begin) >= g.settings.Leave && g.entry.InProgress() == 0 {
 			break
 		}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -32,6 +32,17 @@
 	MemoryBytes int64
 }
 
+// fixed is the part of settings that a reload does not change.
+type fixed struct {
+	host, zone, region string
+	listen             Listen
+	store              string
+}
+
+func (s *Settings) fixed() fixed {
+	return fixed{host: s.Host, zone: s.Zone, region: s.Region, listen: s.Listen, store: s.Store}
+}
+
 // Listen holds the addresses that the gateway listens on.
 type Listen struct {
 	// Front takes callers, Ready the balancer's questions.
