Hosts tell each other of members by difference, and losses to the whole fleet

Cause: where two digests differed, both sides sent their full list of members. Two faults showed on reading: Leave never reached what peers are told, as only a changed roster renewed it, and a lost host was forgotten by each host alone after eight failures of its own, which takes half an hour at 300 hosts, while others told it anew. Ruled out: smaller lists by compression (the same growth), a digest of each member in each message (16 KB at 3,900 hosts). Change: an exchange compares digests, then 64 group digests, then hashes of the members in groups that differ; only what the other side lacks is sent. A member that left, or failed four exchanges in a row over 14 s, is away for the whole fleet until it denies it with a later description. Those away are tried now and then, so that parts of a fleet meet again without seeds, and are forgotten after ten minutes. Three of four exchanges stay in the own region. A host whose earlier process had a clock ahead takes a later description too; TestHostsAgreeAfterAnyHistory found that its tables never agreed. Tests, virtual time: TestAllHostsLearnThatOneIsLost, TestPartsOfAFleetMeetAgain, TestHostThatOneCannotReachStays, TestChangeCostsLittle, TestAwayMembersAreForgotten, TestHostsAgreeAfterAnyHistory. The tests of a lost and of a leaving host ask more than before (all hosts learn of it).

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -1,6 +1,7 @@
 // Package fleet is the core that finds out which hosts there are: it starts from a few
-// seed addresses, exchanges members with one host at a time and forgets those that do not
-// answer.
+// seed addresses and exchanges with one host at a time what either lacks. A host that
+// leaves, or fails to answer several times, is away for the whole fleet until it denies
+// that or starts again.
 //
 // The contract: one duty owns a Fleet, steps it with each event, calls Advance when
 // NextWake has come and carries out the effects. One exchange is in progress at a time.
@@ -9,6 +10,7 @@
 package fleet
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -23,16 +25,21 @@
 	joinInterval   = 100 * time.Millisecond
 	steadyInterval = time.Second
 	joinExchanges  = 8
-	// suspectFor is how long a member that did not answer is left out before it is tried
-	// again; it doubles with each failure in a row up to maxSuspect.
-	suspectFor = 2 * time.Second
-	maxSuspect = 30 * time.Second
-	// retireAfter is the number of failures in a row after which a member is forgotten: it
-	// has been away for minutes, or its address belongs to nobody.
-	retireAfter = 8
-	// seedShare is how often, as 1/n, an exchange goes to a seed, so that parts of a fleet
-	// that lost each other meet again.
-	seedShare = 16
+	// retryAfter is the time until a member that did not answer is asked again. It doubles
+	// with each failure in a row.
+	retryAfter = 2 * time.Second
+	// lostAfter is the number of failures in a row, over 14 s, after which a member is away
+	// for the whole fleet: longer than a host is paused or restarted.
+	lostAfter = 4
+	// farShare is how often, as 1/n, an exchange goes to a seed or to a member that is
+	// away, so that parts of a fleet that lost each other meet again.
+	farShare = 16
+	// crossShare is how often, as 1/n, an exchange goes to another region, where a way is
+	// long and its bytes are dear.
+	crossShare = 4
+	// awayFor is how long a member that is away is remembered: far longer than news need
+	// to reach all hosts, and than regions are cut from each other.
+	awayFor = 10 * time.Minute
 )
 
 // Event is something that happened outside the core.
@@ -45,12 +52,11 @@
 type Heard struct {
 	From    Member
 	Members []Member
-	Leaving bool
 }
 
 // Exchanged is the end of this host's own exchange.
 type Exchanged struct {
-	// Host is the member, "" for a seed of which only Address is known.
+	// Host is the member, "" for an address at which any host may answer.
 	Host    string
 	Address string
 	OK      bool
@@ -68,14 +74,19 @@
 func (*Seeds) event()     {}
 func (*Leave) event()     {}
 
-// Exchange asks for one exchange of members with a host.
+// Exchange asks for one exchange of members with a host, "" for whichever answers at the
+// address.
 type Exchange struct {
 	Host    string
 	Address string
 }
 
-// Roster is the members that answer, this host included, by name.
-type Roster struct{ Members []Member }
+// Roster is what is known of the fleet: the members that answer this host, itself
+// included, by name, and all that peers are told.
+type Roster struct {
+	Members []Member
+	Table   *Table
+}
 
 // Effects are what a step asks its caller to do.
 type Effects struct {
@@ -93,9 +104,10 @@
 
 type state struct {
 	Member
-	failures  int
-	suspectTo time.Duration
-	left      bool
+	// failures is the number of exchanges in a row that failed, retryAt when the next is due.
+	failures int
+	retryAt  time.Duration
+	awayAt   time.Duration
 }
 
 // Fleet is the core.
@@ -108,8 +120,10 @@
 	fruitless int
 	calling   bool
 	started   bool
-	leaving   bool
 	changed   bool
+	// retried tells that the last exchange was a retry, so that members that do not answer
+	// take at most every second one.
+	retried bool
 }
 
 // New returns a fleet of this host alone. Seeds are addresses.
@@ -121,41 +135,21 @@
 	return slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == own })
 }
 
-// Digest is a hash over all members that are known.
-func (f *Fleet) Digest() uint64 {
-	digest := f.self.hash()
-	for _, m := range f.members {
-		digest ^= m.hash()
-	}
-	return digest
-}
-
-// Members returns all members that are known, this host included, by name.
-func (f *Fleet) Members() []Member {
-	list := make([]Member, 0, len(f.members)+1)
-	list = append(list, f.self)
+// Table returns what peers are told.
+func (f *Fleet) Table() *Table {
+	var away []Member
+	present := []Member{f.self}
 	for _, m := range f.members {
-		if !m.left {
-			list = append(list, m.Member)
+		if m.Away {
+			away = append(away, m.Member)
+		} else {
+			present = append(present, m.Member)
 		}
 	}
-	slices.SortFunc(list, func(a, b Member) int { return compareNames(a.Host, b.Host) })
-	return list
+	slices.SortFunc(present, byName)
+	return newTable(f.self, present, away)
 }
 
-func compareNames(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
-// Leaving reports whether this host stops.
-func (f *Fleet) Leaving() bool { return f.leaving }
-
 // Step handles one event.
 func (f *Fleet) Step(now clock.Instant, ev Event, fx *Effects) {
 	switch ev := ev.(type) {
@@ -163,70 +157,117 @@
 		f.started, f.changed = true, true
 		f.nextAt = now.Mono
 	case *Heard:
-		f.heard(ev, fx)
+		f.heard(now, ev, fx)
 	case *Exchanged:
 		f.exchanged(now, ev, fx)
 	case *Seeds:
 		f.seeds = without(ev.Addresses, f.self.Address)
 	case *Leave:
-		f.leaving = true
+		f.self.Away, f.changed = true, true
+		f.fruitless = 0
 	}
 	f.Advance(now, fx)
 }
 
 // Advance does what is due at now.
 func (f *Fleet) Advance(now clock.Instant, fx *Effects) {
-	f.endSuspicion(now)
 	if f.started && !f.calling && now.Mono >= f.nextAt {
+		f.forget(now)
 		f.exchange(now, fx)
 	}
 	if f.changed {
 		f.changed = false
-		fx.Roster = &Roster{Members: f.roster(now)}
+		table := f.Table()
+		fx.Roster = &Roster{Members: f.answering(table), Table: table}
 	}
 }
 
 // NextWake returns when Advance must next be called, and false for never.
 func (f *Fleet) NextWake() (time.Duration, bool) { return f.nextAt, f.started && !f.calling }
 
-func (f *Fleet) roster(now clock.Instant) []Member {
-	return slices.DeleteFunc(f.Members(), func(m Member) bool {
+// answering returns the members of a table without those that failed to answer.
+func (f *Fleet) answering(t *Table) []Member {
+	return slices.DeleteFunc(slices.Clone(t.Members()), func(m Member) bool {
 		s := f.members[m.Host]
-		return s != nil && now.Mono < s.suspectTo
+		return s != nil && s.failures > 0
 	})
 }
 
-func (f *Fleet) endSuspicion(now clock.Instant) {
-	for _, m := range f.members {
-		if m.suspectTo != 0 && now.Mono >= m.suspectTo {
-			m.suspectTo = 0
+// forget drops the members that have been away for long.
+func (f *Fleet) forget(now clock.Instant) {
+	for name, m := range f.members {
+		if m.Away && now.Mono-m.awayAt >= awayFor {
+			delete(f.members, name)
 			f.changed = true
 		}
 	}
 }
 
-// exchange picks a member at random, a seed while none is known and now and then.
+// exchange asks for the next exchange.
 func (f *Fleet) exchange(now clock.Instant, fx *Effects) {
 	f.nextAt = now.Mono + f.interval()
-	var names []string
-	for name, m := range f.members {
-		if !m.left && now.Mono >= m.suspectTo {
-			names = append(names, name)
+	fx.Exchange = f.pick(now)
+	f.calling = fx.Exchange != nil
+}
+
+// pick chooses a member that is to be tried again, now and then a seed or a member that
+// is away, and otherwise any that answers, more often one of the own region.
+func (f *Fleet) pick(now clock.Instant) *Exchange {
+	var near, cross, late []*state
+	for _, name := range slices.Sorted(maps.Keys(f.members)) {
+		m := f.members[name]
+		switch {
+		case m.Away:
+		case m.failures > 0:
+			if now.Mono >= m.retryAt {
+				late = append(late, m)
+			}
+		case m.Region == f.self.Region:
+			near = append(near, m)
+		default:
+			cross = append(cross, m)
 		}
 	}
-	toSeed := len(names) == 0 || f.rng.IntN(seedShare) == 0
-	if toSeed && len(f.seeds) > 0 {
-		f.calling = true
-		fx.Exchange = &Exchange{Address: f.seeds[f.rng.IntN(len(f.seeds))]}
-		return
+	f.retried = len(late) > 0 && !f.retried
+	if f.retried {
+		return f.anyOf(late)
 	}
-	if len(names) == 0 {
-		return
+	if len(near)+len(cross) == 0 || f.rng.IntN(farShare) == 0 {
+		if x := f.pickFar(); x != nil {
+			return x
+		}
+	}
+	if len(near) == 0 || len(cross) > 0 && f.rng.IntN(crossShare) == 0 {
+		return f.anyOf(cross)
+	}
+	return f.anyOf(near)
+}
+
+func (f *Fleet) anyOf(list []*state) *Exchange {
+	if len(list) == 0 {
+		return nil
+	}
+	m := list[f.rng.IntN(len(list))]
+	return &Exchange{Host: m.Host, Address: m.Address}
+}
+
+// pickFar chooses an address at which hosts may be that this one does not count, nil for
+// none: a seed, or half of the time a member that is away.
+func (f *Fleet) pickFar() *Exchange {
+	var away []string
+	for _, name := range slices.Sorted(maps.Keys(f.members)) {
+		if m := f.members[name]; m.Away {
+			away = append(away, m.Address)
+		}
 	}
-	slices.Sort(names)
-	m := f.members[names[f.rng.IntN(len(names))]]
-	f.calling = true
-	fx.Exchange = &Exchange{Host: m.Host, Address: m.Address}
+	from := f.seeds
+	if len(from) == 0 || len(away) > 0 && f.rng.IntN(2) == 0 {
+		from = away
+	}
+	if len(from) == 0 {
+		return nil
+	}
+	return &Exchange{Address: from[f.rng.IntN(len(from))]}
 }
 
 func (f *Fleet) interval() time.Duration {
@@ -240,70 +281,94 @@
 func (f *Fleet) exchanged(now clock.Instant, ev *Exchanged, fx *Effects) {
 	f.calling = false
 	f.fruitless++
-	if ev.Host == "" {
-		return
-	}
-	if !ev.OK {
-		f.suspect(now, ev.Host, fx)
-		return
+	m := f.members[ev.Host]
+	switch {
+	case m == nil || m.Away:
+	case ev.OK:
+		f.answered(m, fx)
+	default:
+		f.failed(now, m, fx)
 	}
-	f.clear(ev.Host, fx)
 }
 
-func (f *Fleet) clear(host string, fx *Effects) {
-	m := f.members[host]
-	if m == nil || m.failures == 0 {
+func (f *Fleet) answered(m *state, fx *Effects) {
+	if m.failures == 0 {
 		return
 	}
-	m.failures, m.suspectTo = 0, 0
+	m.failures = 0
 	f.changed = true
-	fx.Records = append(fx.Records, decision.New("host_regained", decision.String("peer", host)))
+	fx.Records = append(fx.Records, decision.New("host_regained", decision.String("peer", m.Host)))
 }
 
-func (f *Fleet) suspect(now clock.Instant, host string, fx *Effects) {
-	m := f.members[host]
-	if m == nil || now.Mono < m.suspectTo {
-		return
-	}
+func (f *Fleet) failed(now clock.Instant, m *state, fx *Effects) {
 	m.failures++
 	f.changed = true
-	if m.failures >= retireAfter {
-		delete(f.members, host)
-		fx.Records = append(fx.Records, decision.New("host_forgotten", decision.String("peer", host)))
+	if m.failures >= lostAfter {
+		f.setAway(now, m, "it does not answer", fx)
 		return
 	}
-	m.suspectTo = now.Mono + min(suspectFor<<(m.failures-1), maxSuspect)
+	m.retryAt = now.Mono + retryAfter<<(m.failures-1)
 	fx.Records = append(fx.Records, decision.Warning("host_lost",
-		decision.String("peer", host), decision.Int("failures", m.failures), decision.Millis("left_out_for", m.suspectTo-now.Mono)))
+		decision.String("peer", m.Host), decision.Int("failures", m.failures), decision.Millis("asked_again_in", m.retryAt-now.Mono)))
+}
+
+func (f *Fleet) setAway(now clock.Instant, m *state, reason string, fx *Effects) {
+	m.Away, m.awayAt, m.failures = true, now.Mono, 0
+	f.changed = true
+	f.fruitless = 0
+	fx.Records = append(fx.Records, decision.New("host_away",
+		decision.String("peer", m.Host), decision.Uint("started", m.Started), decision.String("reason", reason)))
 }
 
-func (f *Fleet) heard(ev *Heard, fx *Effects) {
-	f.learn(ev.From, fx)
+func (f *Fleet) heard(now clock.Instant, ev *Heard, fx *Effects) {
+	f.learn(now, ev.From, "it says so", fx)
 	for _, m := range ev.Members {
-		f.learn(m, fx)
+		f.learn(now, m, ev.From.Host+" says so", fx)
 	}
-	if m := f.members[ev.From.Host]; m != nil && m.Started == ev.From.Started {
-		f.clear(ev.From.Host, fx)
-		if ev.Leaving && !m.left {
-			m.left, f.changed = true, true
-			fx.Records = append(fx.Records, decision.New("host_leaving", decision.String("peer", m.Host)))
-		}
+	if m := f.members[ev.From.Host]; m != nil && !m.Away && m.Started == ev.From.Started {
+		f.answered(m, fx)
 	}
 }
 
-// learn takes a description that is new or of a later start.
-func (f *Fleet) learn(m Member, fx *Effects) {
-	if m.Host == "" || m.Host == f.self.Host {
+// learn takes a description that is new or of a later start. source says who gave it.
+func (f *Fleet) learn(now clock.Instant, m Member, source string, fx *Effects) {
+	if m.Host == "" {
+		return
+	}
+	if m.Host == f.self.Host {
+		f.deny(now, m, fx)
 		return
 	}
 	known := f.members[m.Host]
-	if known != nil && known.Started >= m.Started {
+	switch {
+	case known == nil && m.Away, known != nil && known.Started > m.Started:
+	case known != nil && known.Started == m.Started:
+		if m.Away && !known.Away {
+			f.setAway(now, known, source, fx)
+		}
+	default:
+		f.members[m.Host] = &state{Member: m}
+		f.changed = true
+		f.fruitless = 0
+		if m.Away {
+			f.setAway(now, f.members[m.Host], source, fx)
+			return
+		}
+		fx.Records = append(fx.Records, decision.New("host_found",
+			decision.String("peer", m.Host), decision.String("peer_zone", m.Zone), decision.String("address", m.Address),
+			decision.Int("capacity", m.Capacity), decision.Int("known", len(f.members)+1)))
+	}
+}
+
+// deny answers a peer that takes this host for away, or knows it from an earlier process
+// whose clock was ahead, with a later description.
+func (f *Fleet) deny(now clock.Instant, m Member, fx *Effects) {
+	away := m.Away && !f.self.Away
+	if m.Started < f.self.Started || m.Started == f.self.Started && !away {
 		return
 	}
-	f.members[m.Host] = &state{Member: m}
+	f.self.Started = max(m.Started+1, uint64(now.Wall))
 	f.changed = true
 	f.fruitless = 0
-	fx.Records = append(fx.Records, decision.New("host_found",
-		decision.String("peer", m.Host), decision.String("peer_zone", m.Zone), decision.String("address", m.Address),
-		decision.Int("capacity", m.Capacity), decision.Int("known", len(f.members)+1)))
+	fx.Records = append(fx.Records, decision.Warning("host_denies", decision.Uint("told", m.Started), decision.Uint("started", f.self.Started)))
 }
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -22,7 +22,11 @@
 	fleets  []*Fleet
 	members []Member
 	down    map[string]bool
-	now     clock.Instant
+	// cut tells which hosts cannot reach each other, nil for none.
+	cut func(a, b int) bool
+	now clock.Instant
+	// told is the number of descriptions of members in all messages, words that of hashes.
+	told, words int
 }
 
 func newNetwork(n int, seeds ...string) *network {
@@ -44,10 +48,18 @@
 	return -1
 }
 
-// pass moves time on in small steps.
+// restart starts a host anew.
+func (w *network) restart(i int, seeds ...string) {
+	w.down[w.members[i].Host] = false
+	w.members[i].Started++
+	w.fleets[i] = New(w.members[i], seeds, w.members[i].Started*1000+uint64(i))
+}
+
+// pass moves time on, waking each host when it asks for it.
 func (w *network) pass(d time.Duration) {
-	const tick = 10 * time.Millisecond
-	for end := w.now.Add(d); w.now.Mono < end.Mono; w.now = w.now.Add(tick) {
+	end := w.now.Add(d)
+	for {
+		next := end.Mono
 		for i, f := range w.fleets {
 			if w.down[w.members[i].Host] {
 				continue
@@ -59,40 +71,67 @@
 				f.Advance(w.now, &fx)
 			}
 			w.carry(i, &fx)
+			if due, ok := f.NextWake(); ok {
+				next = min(next, max(due, w.now.Mono))
+			}
 		}
+		if next >= end.Mono {
+			break
+		}
+		w.now = w.now.Add(next - w.now.Mono)
 	}
+	w.now = end
 }
 
+// carry carries out the exchange that a host asks for, at once.
 func (w *network) carry(from int, fx *Effects) {
 	x := fx.Exchange
 	if x == nil {
 		return
 	}
 	to := w.byAddress(x.Address)
-	reached := to >= 0 && !w.down[w.members[to].Host]
+	reached := to >= 0 && !w.down[w.members[to].Host] && (w.cut == nil || !w.cut(from, to))
+	w.fleets[from].Table().Exchange(func(out *Message) (*Message, bool) {
+		if !reached {
+			return nil, false
+		}
+		in := w.fleets[to].Table().Answer(out)
+		w.hear(to, out)
+		w.hear(from, in)
+		return in, true
+	})
 	var next Effects
-	if reached {
-		w.fleets[to].Step(w.now, &Heard{From: w.members[from], Leaving: w.fleets[from].Leaving()}, &next)
-		w.carry(to, &next)
-		next.Reset()
-		w.fleets[from].Step(w.now, &Heard{From: w.members[to], Members: w.fleets[to].Members(), Leaving: w.fleets[to].Leaving()}, &next)
-		w.carry(from, &next)
-		next.Reset()
-	}
 	w.fleets[from].Step(w.now, &Exchanged{Host: x.Host, Address: x.Address, OK: reached}, &next)
 	w.carry(from, &next)
 }
 
+func (w *network) hear(i int, m *Message) {
+	w.told += len(m.Members)
+	w.words += len(m.Groups) + len(m.Have) + len(m.Want)
+	var next Effects
+	w.fleets[i].Step(w.now, &Heard{From: m.From, Members: m.Members}, &next)
+	w.carry(i, &next)
+}
+
 func (w *network) counts() []int {
 	var counts []int
 	for i, f := range w.fleets {
 		if !w.down[w.members[i].Host] {
-			counts = append(counts, len(f.roster(w.now)))
+			counts = append(counts, len(f.answering(f.Table())))
 		}
 	}
 	return counts
 }
 
+func (w *network) wantAll(t *testing.T, want int, when string) {
+	t.Helper()
+	for i, n := range w.counts() {
+		if n != want {
+			t.Errorf("host %d counts %d members %s, want %d", i, n, when, want)
+		}
+	}
+}
+
 // TestHostsFindEachOther bounds the time until every host knows all, with one of the
 // seeds down and another stale.
 func TestHostsFindEachOther(t *testing.T) {
@@ -107,55 +146,154 @@
 	}
 }
 
-// TestLostHostIsLeftOutAndComesBack stops a host and starts it again.
+// TestLostHostIsLeftOutAndComesBack stops a host and starts it again: all hosts learn of
+// both.
 func TestLostHostIsLeftOutAndComesBack(t *testing.T) {
 	w := newNetwork(6, "a00")
 	w.pass(3 * time.Second)
 	w.down["h03"] = true
-	w.pass(20 * time.Second)
-	for i, n := range w.counts() {
-		if n > 6 {
-			t.Errorf("host %d counts %d members", i, n)
-		}
+	w.pass(30 * time.Second)
+	w.wantAll(t, 5, "after a host was lost")
+	w.restart(3, "a00")
+	w.pass(5 * time.Second)
+	w.wantAll(t, 6, "after its return")
+}
+
+// TestAllHostsLearnThatOneIsLost bounds the time in a large fleet, where each host asks
+// the lost one by itself only every few minutes.
+func TestAllHostsLearnThatOneIsLost(t *testing.T) {
+	const hosts, bound = 100, 45 * time.Second
+	w := newNetwork(hosts, "a00", "a01")
+	w.pass(6 * time.Second)
+	w.wantAll(t, hosts, "after the start")
+	w.down["h50"] = true
+	w.pass(bound)
+	w.wantAll(t, hosts-1, "after one was lost")
+}
+
+// TestPartsOfAFleetMeetAgain cuts a fleet in two for longer than hosts wait for each
+// other. No seed answers after that.
+func TestPartsOfAFleetMeetAgain(t *testing.T) {
+	const hosts = 20
+	w := newNetwork(hosts, "a00")
+	w.pass(5 * time.Second)
+	w.cut = func(a, b int) bool { return a%2 != b%2 }
+	w.pass(3 * time.Minute)
+	w.wantAll(t, hosts/2, "in a part")
+	w.cut = nil
+	for _, f := range w.fleets {
+		f.seeds = nil
 	}
-	lost := 0
-	for _, n := range w.counts() {
-		if n == 5 {
-			lost++
+	w.pass(30 * time.Second)
+	w.wantAll(t, hosts, "after the cut")
+}
+
+// TestHostThatOneCannotReachStays lets one host fail to reach another that all others
+// reach: its word makes it away for a moment at most.
+func TestHostThatOneCannotReachStays(t *testing.T) {
+	const hosts = 12
+	w := newNetwork(hosts, "a00")
+	w.pass(5 * time.Second)
+	w.cut = func(a, b int) bool { return a == 3 && b == 7 }
+	missing, looks := 0, 0
+	for range 600 {
+		w.pass(100 * time.Millisecond)
+		for i, n := range w.counts() {
+			if i != 3 && i != 7 {
+				looks++
+				missing += hosts - n
+			}
 		}
 	}
-	if lost < 3 {
-		t.Errorf("%d of 5 hosts have noticed after 20 s that a host is gone", lost)
+	if share := float64(missing) / float64(looks); share > 0.05 {
+		t.Errorf("the other hosts miss %.3f members on the mean, want at most 0.05", share)
 	}
-	w.down["h03"] = false
-	w.members[3].Started = 2
-	w.fleets[3] = New(w.members[3], []string{"a00"}, 33)
-	w.pass(20 * time.Second)
-	for i, n := range w.counts() {
-		if n != 6 {
-			t.Errorf("host %d counts %d members after the return, want 6", i, n)
-		}
+}
+
+// TestChangeCostsLittle bounds what is sent until all hosts know of one new start: not
+// the whole list time and again.
+func TestChangeCostsLittle(t *testing.T) {
+	const hosts = 100
+	w := newNetwork(hosts, "a00", "a01")
+	w.pass(15 * time.Second)
+	w.told, w.words = 0, 0
+	w.pass(10 * time.Second)
+	if w.told+w.words != 0 {
+		t.Errorf("%d descriptions and %d hashes sent while nothing changed", w.told, w.words)
+	}
+	w.down["h50"] = true
+	w.restart(50, "a00")
+	w.pass(10 * time.Second)
+	w.wantAll(t, hosts, "after a new start")
+	// The host that starts is told of all others once or, from two at a time, twice.
+	if bound := 4 * hosts; w.told > bound {
+		t.Errorf("%d descriptions sent for one new start, want at most %d", w.told, bound)
 	}
 }
 
 func TestLeavingHostIsLeftOut(t *testing.T) {
-	f := New(member(0), nil, 1)
+	w := newNetwork(8, "a00")
+	w.pass(4 * time.Second)
 	var fx Effects
-	now := clock.Instant{}
-	f.Step(now, &Start{}, &fx)
-	f.Step(now, &Heard{From: member(1)}, &fx)
-	f.Step(now, &Heard{From: member(1), Leaving: true}, &fx)
-	if got := len(f.roster(now)); got != 1 {
-		t.Errorf("%d members, want this host alone", got)
-	}
-	later := member(1)
-	later.Started = 2
-	f.Step(now, &Heard{From: later}, &fx)
-	if got := len(f.roster(now)); got != 2 {
-		t.Errorf("%d members after the start of a new process, want 2", got)
+	w.fleets[5].Step(w.now, &Leave{}, &fx)
+	w.carry(5, &fx)
+	w.pass(2 * time.Second)
+	w.down["h05"] = true
+	w.pass(2 * time.Second)
+	w.wantAll(t, 7, "after one left")
+	w.restart(5, "a00")
+	w.pass(4 * time.Second)
+	w.wantAll(t, 8, "after a new start")
+}
+
+// TestAwayMembersAreForgotten bounds what is remembered of hosts that never return.
+func TestAwayMembersAreForgotten(t *testing.T) {
+	w := newNetwork(3, "a00")
+	w.pass(3 * time.Second)
+	w.down["h02"] = true
+	w.pass(awayFor + time.Minute)
+	for i, f := range w.fleets[:2] {
+		if len(f.members) != 1 {
+			t.Errorf("host %d remembers %d others, want 1", i, len(f.members))
+		}
 	}
 }
 
+// TestHostsAgreeAfterAnyHistory stops, starts and cuts hosts at random: once all is calm,
+// all tables are the same.
+func TestHostsAgreeAfterAnyHistory(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const hosts = 8
+		w := newNetwork(hosts, "a00", "a01")
+		for range rapid.IntRange(1, 8).Draw(rt, "steps") {
+			i := rapid.IntRange(0, hosts-1).Draw(rt, "host")
+			switch rapid.IntRange(0, 3).Draw(rt, "what") {
+			case 0:
+				w.down[w.members[i].Host] = true
+			case 1:
+				w.restart(i, "a00", "a01")
+			case 2:
+				w.cut = func(a, b int) bool { return a == i || b == i }
+			case 3:
+				w.cut = nil
+			}
+			w.pass(time.Duration(rapid.IntRange(100, 20_000).Draw(rt, "pause")) * time.Millisecond)
+		}
+		w.cut = nil
+		for i := range hosts {
+			if w.down[w.members[i].Host] {
+				w.restart(i, "a00", "a01")
+			}
+		}
+		w.pass(time.Minute)
+		for i, f := range w.fleets {
+			if table := f.Table(); table.Count() != hosts || table.digest != w.fleets[0].Table().digest {
+				rt.Fatalf("host %d counts %d members with digest %x", i, table.Count(), table.digest)
+			}
+		}
+	})
+}
+
 // TestOlderDescriptionNeverReplacesNewer hears of an earlier start of a host.
 func TestOlderDescriptionNeverReplacesNewer(t *testing.T) {
 	f := New(member(0), nil, 1)
@@ -172,12 +310,12 @@
 func TestDigestDependsOnMembersOnly(t *testing.T) {
 	a, b := New(member(0), nil, 1), New(member(1), nil, 2)
 	var fx Effects
-	if a.Digest() == b.Digest() {
+	if a.Table().digest == b.Table().digest {
 		t.Fatal("fleets of different hosts have one digest")
 	}
 	a.Step(clock.Instant{}, &Heard{From: member(1)}, &fx)
 	b.Step(clock.Instant{}, &Heard{From: member(0)}, &fx)
-	if a.Digest() != b.Digest() {
+	if a.Table().digest != b.Table().digest {
 		t.Error("fleets of the same hosts have different digests")
 	}
 }
@@ -227,7 +365,7 @@
 func TestChangedSeedsAreUsed(t *testing.T) {
 	w := newNetwork(2, "nowhere")
 	w.pass(3 * time.Second)
-	if n := len(w.fleets[0].Members()); n != 1 {
+	if n := w.fleets[0].Table().Count(); n != 1 {
 		t.Fatalf("host 0 knows %d members without a seed that answers", n)
 	}
 	var fx Effects
@@ -235,7 +373,7 @@
 	w.carry(0, &fx)
 	w.pass(3 * time.Second)
 	for i, f := range w.fleets {
-		if n := len(f.Members()); n != 2 {
+		if n := f.Table().Count(); n != 2 {
 			t.Errorf("host %d knows %d members", i, n)
 		}
 	}
--- a/internal/core/fleet/member.go
+++ b/internal/core/fleet/member.go
@@ -17,12 +17,15 @@
 	Address string
 	// Capacity is the host's share of a core in thousandths.
 	Capacity int
-	// Started is the wall-clock start of the process in nanoseconds; of two descriptions
-	// of a host the one that started later counts.
+	// Started is the wall-clock start of the process in nanoseconds, or a later time at
+	// which it denied being away. Of two descriptions of a host the later one counts.
 	Started uint64
+	// Away tells that the process has left or was lost. It outweighs a description with the
+	// same start.
+	Away bool
 }
 
-// hash covers all fields.
+// hash covers all fields but Away.
 func (m *Member) hash() uint64 {
 	return xxhash.Sum64String(m.Host + "\x00" + m.Zone + "\x00" + m.Region + "\x00" + m.Address + "\x00" +
 		strconv.Itoa(m.Capacity) + "\x00" + strconv.FormatUint(m.Started, 16))
--- a/internal/gateway/fleeting.go
+++ b/internal/gateway/fleeting.go
@@ -36,11 +36,8 @@
 	onRoster  func([]fleet.Member)
 	record    func(*decision.Record)
 	log       zerolog.Logger
-	// told is what peers are told of the members.
-	told atomic.Pointer[wire.Gossip]
-	// apart is told without the members, to a peer whose digest is the same.
-	apart atomic.Pointer[wire.Gossip]
-	self  fleet.Member
+	// table is what peers are told of the members.
+	table atomic.Pointer[fleet.Table]
 }
 
 func newFleeting(s *Settings, clk wallclock.Clock, seed uint64, log zerolog.Logger) (*fleeting, error) {
@@ -50,9 +47,6 @@
 		inbox:     ring.New[fleet.Event]("fleet", fleetCapacity),
 		exchanges: ring.New[*fleet.Exchange]("gossip", 1),
 		log:       log,
-		self: fleet.Member{
-			Host: s.Host, Zone: s.Zone, Region: s.Region, Address: s.Listen.Mesh, Capacity: s.Capacity, Started: started,
-		},
 	}
 	var err error
 	f.mesh, err = mesh.Start(mesh.Options{
@@ -62,9 +56,10 @@
 	if err != nil {
 		return nil, err
 	}
-	f.self.Address = f.mesh.Address()
-	f.fleet = fleet.New(f.self, s.Seeds, seed)
-	f.tell()
+	f.fleet = fleet.New(fleet.Member{
+		Host: s.Host, Zone: s.Zone, Region: s.Region, Address: f.mesh.Address(), Capacity: s.Capacity, Started: started,
+	}, s.Seeds, seed)
+	f.table.Store(f.fleet.Table())
 	f.mesh.Handle(wire.CallKind_CALL_KIND_GOSSIP, f.serveGossip)
 	return f, nil
 }
@@ -104,8 +99,8 @@
 		f.record(&fx.Records[i])
 	}
 	if fx.Roster != nil {
-		f.tell()
-		f.publish()
+		f.table.Store(fx.Roster.Table)
+		f.publish(fx.Roster.Table.Members())
 		f.onRoster(fx.Roster.Members)
 	}
 	if fx.Exchange != nil && !f.exchanges.Put(fx.Exchange) {
@@ -114,17 +109,8 @@
 	fx.Reset()
 }
 
-// tell renews what peers are told.
-func (f *fleeting) tell() {
-	short := &wire.Gossip{From: wire.FromMember(&f.self), Digest: f.fleet.Digest(), Leaving: f.fleet.Leaving()}
-	full := &wire.Gossip{From: short.From, Digest: short.Digest, Leaving: short.Leaving, Members: wire.FromMembers(f.fleet.Members())}
-	f.apart.Store(short)
-	f.told.Store(full)
-}
-
 // publish tells the mesh where members are.
-func (f *fleeting) publish() {
-	members := f.fleet.Members()
+func (f *fleeting) publish(members []fleet.Member) {
 	hosts := make([]release.Host, len(members))
 	for i, m := range members {
 		hosts[i] = release.Host{Name: m.Host, Zone: m.Zone, Mesh: m.Address}
@@ -132,22 +118,26 @@
 	f.mesh.Apply(hosts, nil)
 }
 
-// gossipFor returns what to tell a peer with this digest.
-func (f *fleeting) gossipFor(digest uint64) *wire.Gossip {
-	if short := f.apart.Load(); short.GetDigest() == digest {
-		return short
+// serveGossip answers a peer's message.
+func (f *fleeting) serveGossip(_ string, payload []byte) []byte {
+	in := f.decode("", payload)
+	if in == nil {
+		return nil
 	}
-	return f.told.Load()
+	f.put(heard(in))
+	return f.encode(wire.FromExchange(f.table.Load().Answer(in)))
 }
 
-func (f *fleeting) serveGossip(_ string, payload []byte) []byte {
+func heard(in *fleet.Message) *fleet.Heard { return &fleet.Heard{From: in.From, Members: in.Members} }
+
+// decode returns a message of a peer, nil for one that cannot be read.
+func (f *fleeting) decode(peer string, payload []byte) *fleet.Message {
 	in := &wire.Gossip{}
 	if err := proto.Unmarshal(payload, in); err != nil {
-		f.log.Warn().Str("event", "gossip_malformed").Err(err).Send()
+		f.log.Warn().Str("event", "gossip_malformed").Str("peer", peer).Err(err).Send()
 		return nil
 	}
-	f.put(in.Heard())
-	return f.encode(f.gossipFor(in.GetDigest()))
+	return in.Exchange()
 }
 
 func (f *fleeting) encode(m proto.Message) []byte {
@@ -171,28 +161,27 @@
 	}
 }
 
-// exchange tells a peer the short form first: with equal digests nothing else is needed,
-// and the peer's answer tells its members otherwise.
+// exchange carries out one exchange with a peer.
 func (f *fleeting) exchange(x *fleet.Exchange) {
-	payload := f.encode(f.apart.Load())
-	var reply []byte
-	var err error
-	if x.Host == "" {
-		reply, err = f.mesh.CallAddress(x.Address, wire.CallKind_CALL_KIND_GOSSIP, payload, gossipTimeout)
-	} else {
-		reply, err = f.mesh.Call(x.Host, wire.CallKind_CALL_KIND_GOSSIP, payload, gossipTimeout)
-	}
-	if err != nil {
-		f.log.Debug().Str("event", "gossip_failed").Str("peer", x.Host).Str("address", x.Address).Err(err).Send()
-		f.put(&fleet.Exchanged{Host: x.Host, Address: x.Address})
-		return
-	}
-	in := &wire.Gossip{}
-	if err := proto.Unmarshal(reply, in); err != nil {
-		f.log.Warn().Str("event", "gossip_malformed").Str("peer", x.Host).Err(err).Send()
-		f.put(&fleet.Exchanged{Host: x.Host, Address: x.Address})
-		return
-	}
-	f.put(in.Heard())
-	f.put(&fleet.Exchanged{Host: x.Host, Address: x.Address, OK: true})
+	ok := f.table.Load().Exchange(func(out *fleet.Message) (*fleet.Message, bool) {
+		payload := f.encode(wire.FromExchange(out))
+		var reply []byte
+		var err error
+		if x.Host == "" {
+			reply, err = f.mesh.CallAddress(x.Address, wire.CallKind_CALL_KIND_GOSSIP, payload, gossipTimeout)
+		} else {
+			reply, err = f.mesh.Call(x.Host, wire.CallKind_CALL_KIND_GOSSIP, payload, gossipTimeout)
+		}
+		if err != nil {
+			f.log.Debug().Str("event", "gossip_failed").Str("peer", x.Host).Str("address", x.Address).Err(err).Send()
+			return nil, false
+		}
+		in := f.decode(x.Host, reply)
+		if in == nil {
+			return nil, false
+		}
+		f.put(heard(in))
+		return in, true
+	})
+	f.put(&fleet.Exchanged{Host: x.Host, Address: x.Address, OK: ok})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -202,7 +202,7 @@
 func (g *Gateway) MeshAddress() string { return g.fleet.mesh.Address() }
 
 // Hosts returns the number of hosts that the host knows, itself included.
-func (g *Gateway) Hosts() int { return len(g.fleet.told.Load().GetMembers()) }
+func (g *Gateway) Hosts() int { return g.fleet.table.Load().Count() }
 
 // InProgress returns the number of requests that have been read and not answered.
 func (g *Gateway) InProgress() int { return g.entry.InProgress() }
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -9,37 +9,43 @@
 	"pollentack.example/pollentack/internal/core/result"
 )
 
-// FromMember returns the message of a member.
-func FromMember(m *fleet.Member) *FleetMember {
+// fromMember returns the message of a member.
+func fromMember(m *fleet.Member) *FleetMember {
 	return &FleetMember{
-		Host: m.Host, Zone: m.Zone, Region: m.Region, Mesh: m.Address, Capacity: uint32(m.Capacity), Started: m.Started,
+		Host: m.Host, Zone: m.Zone, Region: m.Region, Mesh: m.Address, Capacity: uint32(m.Capacity), Started: m.Started, Away: m.Away,
 	}
 }
 
-// Core returns the member of a message.
-func (x *FleetMember) Core() fleet.Member {
+// member returns the member of a message.
+func (x *FleetMember) member() fleet.Member {
 	return fleet.Member{
 		Host: x.GetHost(), Zone: x.GetZone(), Region: x.GetRegion(), Address: x.GetMesh(),
-		Capacity: int(x.GetCapacity()), Started: x.GetStarted(),
+		Capacity: int(x.GetCapacity()), Started: x.GetStarted(), Away: x.GetAway(),
 	}
 }
 
-// FromMembers returns the messages of members.
-func FromMembers(members []fleet.Member) []*FleetMember {
-	out := make([]*FleetMember, len(members))
-	for i := range members {
-		out[i] = FromMember(&members[i])
+// FromExchange returns the wire form of a message between members.
+func FromExchange(m *fleet.Message) *Gossip {
+	out := &Gossip{
+		From: fromMember(&m.From), Digest: m.Digest, Groups: m.Groups, Compared: m.Compared, Have: m.Have, Want: m.Want,
+		Members: make([]*FleetMember, len(m.Members)),
+	}
+	for i := range m.Members {
+		out.Members[i] = fromMember(&m.Members[i])
 	}
 	return out
 }
 
-// Heard returns the event of a gossip message.
-func (x *Gossip) Heard() *fleet.Heard {
-	ev := &fleet.Heard{From: x.GetFrom().Core(), Leaving: x.GetLeaving()}
-	for _, m := range x.GetMembers() {
-		ev.Members = append(ev.Members, m.Core())
+// Exchange returns the message between members of its wire form.
+func (x *Gossip) Exchange() *fleet.Message {
+	out := &fleet.Message{
+		From: x.GetFrom().member(), Digest: x.GetDigest(), Groups: x.GetGroups(), Compared: x.GetCompared(), Have: x.GetHave(), Want: x.GetWant(),
+		Members: make([]fleet.Member, len(x.GetMembers())),
+	}
+	for i, m := range x.GetMembers() {
+		out.Members[i] = m.member()
 	}
-	return ev
+	return out
 }
 
 // FromItem returns the message of a stored item.
