Remove the distance to a watcher from heartbeats

Cause: membership could pass on how far the nearest host is that watches the platform, but nothing has told it of a watching host since the control plane took the notes of heartbeats for that (control.PeerHeard): the event Watching had no sender, so the distance was always 0 and the effect never set.

--- a/internal/core/membership/beat.go
+++ b/internal/core/membership/beat.go
@@ -66,7 +66,6 @@
 	h.Merged = p.merged
 	h.Leaving = m.draining
 	h.Ask = p.ask
-	h.WatchDistance = m.watchDistance(now)
 	if p.heard > 0 && p.hash == m.facts.hash {
 		p.told, p.acked = m.facts.head, m.facts.head
 		h.UpTo = p.told
--- a/internal/core/membership/effect.go
+++ b/internal/core/membership/effect.go
@@ -38,9 +38,6 @@
 	// Isolation is set where it changed.
 	Isolation *engine.Isolation
 	Word      *Word
-	// PeerHeard is the note of a peer that hears the platform, nil where this step heard
-	// no such peer.
-	PeerHeard *uint64
 	// AskPlatform asks for one call to the platform at once.
 	AskPlatform bool
 }
--- a/internal/core/membership/event.go
+++ b/internal/core/membership/event.go
@@ -47,9 +47,6 @@
 	Leaving bool
 	// Ask asks for an answer at once.
 	Ask bool
-	// WatchDistance is the number of links from the sender to a host that watches the
-	// platform, plus one; 0 where it knows of none.
-	WatchDistance uint32
 }
 
 // Event is something that happened outside the core.
@@ -80,9 +77,6 @@
 // PlatformWord tells that a call to the platform, begun at Began, succeeded.
 type PlatformWord struct{ Began time.Duration }
 
-// Watching tells whether this host watches the platform with success.
-type Watching struct{ Watching bool }
-
 // LocalFacts is first-hand knowledge of this host.
 type LocalFacts struct {
 	Facts       []engine.TargetFact
@@ -107,7 +101,6 @@
 func (*LinkDown) event()     {}
 func (*Heard) event()        {}
 func (*PlatformWord) event() {}
-func (*Watching) event()     {}
 func (*LocalFacts) event()   {}
 func (*WordWanted) event()   {}
 func (*FetchEnded) event()   {}
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -46,9 +46,7 @@
 	// merged is the position of the peer's log that is merged here.
 	merged  uint64
 	leaving bool
-	// distance is the peer's own to a host that watches the platform.
-	distance uint32
-	nextAt   time.Duration
+	nextAt  time.Duration
 	// prompt asks for a heartbeat before the regular one.
 	prompt bool
 	ask    bool
@@ -64,7 +62,6 @@
 	peers    map[string]*peer
 	facts    *factStore
 	draining bool
-	watching bool
 
 	sequence uint64
 	lastSent time.Duration
@@ -99,8 +96,6 @@
 		m.heard(now, ev, fx)
 	case *PlatformWord:
 		m.words.platform(ev.Began)
-	case *Watching:
-		m.watching = ev.Watching
 	case *LocalFacts:
 		m.localFacts(ev)
 	case *WordWanted:
@@ -248,7 +243,6 @@
 	p.told = max(p.told, p.acked)
 	p.prompt = p.prompt || h.Ask || (m.Note() > p.note && m.standing[p.name])
 	m.words.echoed(h.Echo)
-	m.hearWatcher(p, h, fx)
 	m.learn(now, p, h, fx)
 }
 
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -56,15 +56,13 @@
 	lose func() bool
 	// platform tells which hosts reach the platform.
 	platform map[string]bool
-	// watched holds the hosts that heard of a watcher.
-	watched map[string]bool
 }
 
 func newBench(hosts, zones int) *bench {
 	b := &bench{
 		now: clock.Instant{Mono: time.Second, Wall: time.Hour}, cores: map[string]*Membership{}, inbox: map[string][]*Heard{},
 		cut: map[[2]string]bool{}, notes: map[string]*release.State{}, news: map[string]int{}, effect: map[string]Effects{},
-		lose: func() bool { return false }, platform: map[string]bool{}, watched: map[string]bool{},
+		lose: func() bool { return false }, platform: map[string]bool{},
 	}
 	state := &release.State{Number: 1, Hosts: publishedHosts(hosts, zones)}
 	for _, h := range state.Hosts {
@@ -110,9 +108,6 @@
 	if fx.News != nil {
 		b.news[name]++
 	}
-	if fx.PeerHeard != nil {
-		b.watched[name] = true
-	}
 	if fx.AskPlatform && b.platform[name] {
 		b.step(name, &PlatformWord{Began: b.now.Mono})
 	}
@@ -356,29 +351,6 @@
 	})
 }
 
-// TestWatcherIsHeardAndForgotten checks that a host hears a peer that watches the
-// platform, over several links where it has no direct one, and that all forget it soon
-// after it stops.
-func TestWatcherIsHeardAndForgotten(t *testing.T) {
-	for _, hosts := range []int{9, 81} {
-		b := newBench(hosts, 3)
-		b.step(b.names[0], &Watching{Watching: true})
-		b.run(5 * time.Second)
-		clear(b.watched)
-		b.run(time.Second)
-		if len(b.watched) != hosts-1 && len(b.watched) != hosts {
-			t.Errorf("%d hosts: %d hear of a watcher", hosts, len(b.watched))
-		}
-		b.step(b.names[0], &Watching{Watching: false})
-		b.run(maxWatchDistance * beatInterval)
-		clear(b.watched)
-		b.run(time.Second)
-		if len(b.watched) != 0 {
-			t.Errorf("%d hosts: %d hear of a watcher though there is none", hosts, len(b.watched))
-		}
-	}
-}
-
 // TestMain fixes the seed, so that each run gives the same verdict.
 func TestMain(m *testing.M) {
 	flag.Parse()
--- a/internal/wire/convert.go
+++ b/internal/wire/convert.go
@@ -29,8 +29,6 @@
 		Merged:    h.Merged,
 		Leaving:   h.Leaving,
 		Ask:       h.Ask,
-
-		WatchDistance: h.WatchDistance,
 	}
 	for _, f := range h.Facts {
 		m.Facts = append(m.Facts, &TargetFact{
@@ -59,8 +57,6 @@
 		Merged:   x.GetMerged(),
 		Leaving:  x.GetLeaving(),
 		Ask:      x.GetAsk(),
-
-		WatchDistance: x.GetWatchDistance(),
 	}
 	for _, f := range x.GetFacts() {
 		h.Facts = append(h.Facts, engine.TargetFact{
