A replica that starts anew makes no outlier of the others

A trace of the lost ones: a shard waited 500 ms for a replica while a sound one was idle. That one was ejected as an outlier: after the new start of its peer the peer's latency is 0, or an eighth of its first reply, and every other replica is slower than four times that. The peer itself was cold and took nothing from this host out of its turn. Change: only replicas that are warm and whose latency is known are compared, the first reply sets the latency whole, and a cold replica without room for this host does not keep an ejected one from being chosen.

--- a/internal/core/target/eject.go
+++ b/internal/core/target/eject.go
@@ -99,14 +99,15 @@
 	s.ejections = 0
 }
 
-// outlier reports whether e is far slower than the best of its group.
+// outlier reports whether e is far slower than the best of its group whose latency is
+// known.
 func (t *Table) outlier(e *Entry, group []ID) bool {
 	if e.Latency < minOutlierLatency {
 		return false
 	}
 	for _, id := range group {
 		peer := &t.entries[id]
-		if peer != e && peer.LiveKnown && peer.Usable() && e.Latency > ejectFactor*peer.Latency {
+		if peer != e && peer.Latency > 0 && !peer.Cold && peer.Usable() && e.Latency > ejectFactor*peer.Latency {
 			return true
 		}
 	}
@@ -149,7 +150,8 @@
 
 // Choose picks a replica of the group other than avoid. A held replica is not chosen.
 // An ejected one, and one said to be leaving by its health endpoint alone, is chosen
-// only where no other usable replica is left, so that the last is never ejected.
+// only where no other usable replica is left, so that the last is never ejected. A cold
+// replica that takes nothing from this host now is none.
 func (t *Table) Choose(now time.Duration, group []ID, avoid ID, lacking Lacking) Choice {
 	var memory [maxGroup]ID
 	good, rest := memory[:0], 0
@@ -167,6 +169,7 @@
 			}
 		case e.hinted || e.Ejected(now):
 			rest++
+		case e.Cold && !t.hasRoom(id):
 		default:
 			good = append(good, id)
 		}
--- a/internal/core/target/table.go
+++ b/internal/core/target/table.go
@@ -36,8 +36,6 @@
 	// SaidLeaving is set by the target's own word or a peer's, which the note outlives.
 	SaidLeaving bool
 	ZoneOut     bool
-	// LiveKnown is set once a first-hand reply has arrived.
-	LiveKnown bool
 
 	// claimed is the highest incarnation that only the health endpoint spoke of.
 	claimed uint64
@@ -264,7 +262,9 @@
 	if !answered {
 		return
 	}
-	e.LiveKnown = true
+	if e.Latency == 0 {
+		e.Latency = elapsed
+	}
 	e.Latency += (elapsed - e.Latency) / latencyWeight
 	e.Limiter.Answered(t.now.Mono, elapsed, inFlight)
 }
