A host is ready once it knows what its peers hold against bodies

A host that has just started lets no body run that it does not know until its peers are heard, for 2 s at most. Change: readiness asks for that too, with the same bound. The experiment begins once all hosts are ready, as a balancer would.

--- a/internal/experiment/crash.go
+++ b/internal/experiment/crash.go
@@ -129,6 +129,9 @@
 		return nil, err
 	}
 	defer bed.Stop()
+	if err := bed.AwaitReady(); err != nil {
+		return nil, err
+	}
 	client, err := callerclient.New()
 	if err != nil {
 		return nil, err
--- a/internal/node/meshing.go
+++ b/internal/node/meshing.go
@@ -43,7 +43,7 @@
 	control  func(control.Event) bool
 	isolated atomic.Pointer[func(bool)]
 	status   atomic.Pointer[membershipStatus]
-	settled  bool
+	settled  atomic.Bool
 }
 
 // membershipStatus is what the duty last published of its core.
@@ -164,10 +164,10 @@
 
 // tellSettled tells the engine once that the peers' knowledge has been heard.
 func (m *members) tellSettled() {
-	if m.settled || !m.core.Settled() {
+	if m.settled.Load() || !m.core.Settled() {
 		return
 	}
-	m.settled = m.queries(&engine.Settled{})
+	m.settled.Store(m.queries(&engine.Settled{}))
 }
 
 func (m *members) carryOut(fx *membership.Effects) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -187,11 +187,21 @@
 	}
 	n.queries.setDeliver(n.front.Deliver)
 	n.members.setIsolated(n.front.SetIsolated)
-	n.front.SetReady(func() bool { return n.control.status.Load().Note > 0 })
+	n.front.SetReady(n.Ready)
 	n.admin, err = admin.Start(n.settings.Listen.Admin, httpd.Limits{BodyBytes: adminBodyBytes}, func() any { return n.Status() }, n.requestDrain)
 	return err
 }
 
+// Ready reports whether the balancer may send callers here: a note is in force, and bodies
+// that are not known need not wait for what peers hold against them.
+func (n *Node) Ready() bool {
+	return ready(n.control.status.Load().Note, n.members.settled.Load(), n.clock.Now().Mono)
+}
+
+func ready(note uint64, settled bool, sinceStart time.Duration) bool {
+	return note > 0 && (settled || sinceStart >= settleLimit)
+}
+
 func (n *Node) dutyFailed(name string, err error) {
 	n.log.Error().Str("event", "duty_panicked").Str("duty", name).Err(err).Send()
 	n.failed <- err
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -208,6 +208,13 @@
 	})
 }
 
+// AwaitReady waits until every host would be given callers by a balancer.
+func (t *Testbed) AwaitReady() error {
+	return Await(fmt.Sprintf("%d hosts to be ready", len(t.Nodes)), func() bool {
+		return !slices.ContainsFunc(t.Nodes, func(n *node.Node) bool { return !n.Ready() })
+	})
+}
+
 // Await waits until condition holds, for a bounded time.
 func Await(what string, condition func() bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), awaitLimit)
