--- a/internal/core/target/eject.go
+++ b/internal/core/target/eject.go
@@ -158,7 +158,7 @@
 	c := Choice{ID: None}
 	for _, id := range group {
 		e := &t.entries[id]
-		if id == avoid || !e.Usable() || (lacking != nil && lacking(id)) {
+		if !e.mayTake(id, avoid, lacking) {
 			continue
 		}
 		c.Usable = true
@@ -183,10 +183,15 @@
 	return c
 }
 
+// mayTake reports whether the replica may answer at all.
+func (e *Entry) mayTake(id, avoid ID, lacking Lacking) bool {
+	return id != avoid && e.Usable() && (lacking == nil || !lacking(id))
+}
+
 func (t *Table) secondRate(now time.Duration, group []ID, avoid ID, lacking Lacking, into []ID) []ID {
 	for _, id := range group {
 		e := &t.entries[id]
-		if id == avoid || !e.Usable() || e.held(now) || (lacking != nil && lacking(id)) {
+		if !e.mayTake(id, avoid, lacking) || e.held(now) {
 			continue
 		}
 		into = append(into, id)
