One death of a target counts once against a body

Change: the report of a death names its victim, a hash of the target and the incarnation that the host knew. The home counts the same victim once within 100 ms, which is less than any restart takes. A crashing body that finds its first victim restarted later is still convicted. Test: TestOneDeathCountsOnce; the property that a crashing body kills two at most and the fault matrix hold.

--- a/internal/core/engine/canary.go
+++ b/internal/core/engine/canary.go
@@ -202,7 +202,7 @@
 	ask := e.canary.asks[f]
 	if _, ok := e.canaryTime(now, ask); !ok {
 		delete(e.canary.asks, f)
-		e.endLease(now, f, home, lease, quarantine.NotRun, fx)
+		e.endLease(now, f, home, lease, ending{end: quarantine.NotRun}, fx)
 		return
 	}
 	q := e.queries[ask.waiting[0]]
@@ -246,7 +246,7 @@
 	first := &q.Slots[q.Canary.First]
 	if q.Canary.Stage == query.StageOne && first.Settled() && !first.Done {
 		// Nothing has run clean: what lost the shard may be the body itself.
-		e.report(now, q, quarantine.NotRun, fx)
+		e.report(now, q, ending{end: quarantine.NotRun}, fx)
 		e.finish(now, q, fx)
 		return
 	}
@@ -266,11 +266,17 @@
 	e.scatterFrom(now, q, few, fx)
 }
 
-func ranEnd(q *query.Query) quarantine.End {
+// ending is how a run under a lease ended, and who died of it, if anyone.
+type ending struct {
+	end    quarantine.End
+	victim quarantine.Victim
+}
+
+func ranEnd(q *query.Query) ending {
 	if q.Answered > 0 {
-		return quarantine.RanClean
+		return ending{end: quarantine.RanClean}
 	}
-	return quarantine.NotRun
+	return ending{end: quarantine.NotRun}
 }
 
 // canaryFailed ends a query whose attempt under a lease may have run and gave no answer.
@@ -279,25 +285,29 @@
 	if q.Canary.Lease == 0 || r.Outcome == Answered || r.Outcome.NotRun() {
 		return false
 	}
-	e.report(now, q, lossEnd(r), fx)
+	e.report(now, q, e.lossEnd(r), fx)
 	e.finish(now, q, fx)
 	return true
 }
 
-func lossEnd(r *Reply) quarantine.End {
-	if r.Disconnected {
-		return quarantine.TargetDied
+func (e *Engine) lossEnd(r *Reply) ending {
+	if !r.Disconnected {
+		return ending{end: quarantine.Unclear}
+	}
+	died := ending{end: quarantine.TargetDied}
+	if t := e.targets.Entry(r.Target); t.Spec != nil {
+		died.victim = quarantine.VictimOf(t.Spec.Name, t.Incarnation)
 	}
-	return quarantine.Unclear
+	return died
 }
 
 // lateCanary takes the end of an attempt whose query has ended while it held a lease.
 func (e *Engine) lateCanary(now clock.Instant, q *query.Query, r *Reply, fx *Effects) {
 	switch {
 	case r.Outcome == Answered && q.Open == 0:
-		e.report(now, q, quarantine.RanClean, fx)
+		e.report(now, q, ending{end: quarantine.RanClean}, fx)
 	case r.Outcome != Answered && !r.Outcome.NotRun():
-		e.report(now, q, lossEnd(r), fx)
+		e.report(now, q, e.lossEnd(r), fx)
 	case q.Open == 0:
 		e.report(now, q, ranEnd(q), fx)
 	}
@@ -312,7 +322,7 @@
 }
 
 // report ends the query's lease, if it holds one, and lets others of the body go on.
-func (e *Engine) report(now clock.Instant, q *query.Query, end quarantine.End, fx *Effects) {
+func (e *Engine) report(now clock.Instant, q *query.Query, end ending, fx *Effects) {
 	c := &q.Canary
 	if c.Lease == 0 {
 		return
@@ -326,7 +336,7 @@
 		return
 	}
 	ask.busy = false
-	if end == quarantine.RanClean {
+	if end.end == quarantine.RanClean {
 		e.canary.book.MarkClean(now, f)
 		e.releaseCanary(now, f, fx)
 		return
@@ -334,10 +344,10 @@
 	e.askLater(now, f)
 }
 
-func (e *Engine) endLease(now clock.Instant, f quarantine.Fingerprint, home string, lease uint64, end quarantine.End, fx *Effects) {
+func (e *Engine) endLease(now clock.Instant, f quarantine.Fingerprint, home string, lease uint64, end ending, fx *Effects) {
 	if home != e.cfg.Host {
-		e.tellDeath(now, f, end, fx)
-		fx.CanaryCalls = append(fx.CanaryCalls, CanaryCall{Host: home, Fingerprint: f, Lease: lease, End: end})
+		e.tellDeath(now, f, end.end, fx)
+		fx.CanaryCalls = append(fx.CanaryCalls, CanaryCall{Host: home, Fingerprint: f, Lease: lease, End: end.end, Victim: end.victim})
 		return
 	}
 	e.judge(now, f, lease, end, fx)
--- a/internal/core/engine/canaryevent.go
+++ b/internal/core/engine/canaryevent.go
@@ -12,9 +12,10 @@
 	Fingerprint quarantine.Fingerprint
 	// Within is set in a question: how long the lease must last.
 	Within time.Duration
-	// Lease and End are set in a report.
-	Lease uint64
-	End   quarantine.End
+	// Lease and End are set in a report, Victim in one of a death.
+	Lease  uint64
+	End    quarantine.End
+	Victim quarantine.Victim
 }
 
 // CanaryAnswered is the end of a CanaryCall.
--- a/internal/core/engine/canaryhome.go
+++ b/internal/core/engine/canaryhome.go
@@ -11,7 +11,7 @@
 	reply := CanaryReply{Key: ev.Key}
 	switch {
 	case c.Lease != 0:
-		e.judge(now, c.Fingerprint, c.Lease, c.End, fx)
+		e.judge(now, c.Fingerprint, c.Lease, ending{c.End, c.Victim}, fx)
 	case !e.settled(now):
 		reply.Answer = quarantine.Answer{Verdict: quarantine.Busy}
 	default:
@@ -47,9 +47,9 @@
 
 // judge takes the end of a lease that this host gave, and spreads what counts against
 // the fingerprint.
-func (e *Engine) judge(now clock.Instant, f quarantine.Fingerprint, lease uint64, end quarantine.End, fx *Effects) {
-	s := e.canary.book.Report(now, f, lease, end)
-	if end != quarantine.TargetDied || max(s.Convicted, s.Suspect) <= now.Wall {
+func (e *Engine) judge(now clock.Instant, f quarantine.Fingerprint, lease uint64, end ending, fx *Effects) {
+	s := e.canary.book.Report(now, f, lease, end.end, end.victim)
+	if end.end != quarantine.TargetDied || max(s.Convicted, s.Suspect) <= now.Wall {
 		return
 	}
 	fx.Convictions = append(fx.Convictions, Conviction{Fingerprint: uint64(f), Until: s.Convicted, Suspect: s.Suspect})
--- a/internal/core/quarantine/book.go
+++ b/internal/core/quarantine/book.go
@@ -9,6 +9,7 @@
 package quarantine
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -52,8 +53,23 @@
 	Unclear
 )
 
-// maxDeaths convicts.
-const maxDeaths = 2
+const (
+	// maxDeaths convicts.
+	maxDeaths = 2
+	// sameDeath is how long after the death of a target another loss of the same
+	// incarnation is taken for the same death, as another host's connection to it broke too.
+	// No target is back sooner.
+	sameDeath = 100 * time.Millisecond
+)
+
+// Victim is a hash of a target and its incarnation, 0 for one that is not known.
+type Victim uint64
+
+// VictimOf returns the victim of a target's name and its incarnation as the host that
+// lost it knew it.
+func VictimOf(target string, incarnation uint64) Victim {
+	return Victim(xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(target), incarnation)))
+}
 
 // Config bounds a Book.
 type Config struct {
@@ -76,8 +92,11 @@
 type entry struct {
 	cleanUntil time.Duration
 	deaths     int
-	lease      uint64
-	leaseEnds  time.Duration
+	// victim is the target that died last, diedAt when.
+	victim    Victim
+	diedAt    time.Duration
+	lease     uint64
+	leaseEnds time.Duration
 	// convictedUntil is on the wall clock, for it is shared with other hosts.
 	convictedUntil time.Duration
 	// suspectUntil is on the wall clock: until then the death of one target counts that
@@ -125,7 +144,7 @@
 	}
 	if e.lease != 0 && e.leaseEnds <= now.Mono {
 		e.lease = 0
-		b.died(now, e)
+		b.died(now, e, 0)
 	}
 	if e.lease == 0 && e.ends <= now.Mono && max(e.convictedUntil, e.suspectUntil) <= now.Wall {
 		e.deaths, e.cleanUntil, e.convictedUntil, e.suspectUntil = 0, 0, 0, 0
@@ -133,7 +152,11 @@
 	return e
 }
 
-func (b *Book) died(now clock.Instant, e *entry) {
+func (b *Book) died(now clock.Instant, e *entry, victim Victim) {
+	if victim != 0 && victim == e.victim && now.Mono-e.diedAt < sameDeath {
+		return
+	}
+	e.victim, e.diedAt = victim, now.Mono
 	e.cleanUntil = 0
 	e.deaths++
 	if e.suspectUntil > now.Wall && e.deaths == 1 {
@@ -174,8 +197,9 @@
 	Suspect   time.Duration
 }
 
-// Report ends a lease and returns what counts against the fingerprint after it.
-func (b *Book) Report(now clock.Instant, f Fingerprint, lease uint64, end End) Sentence {
+// Report ends a lease and returns what counts against the fingerprint after it. victim is
+// the target that died, if any.
+func (b *Book) Report(now clock.Instant, f Fingerprint, lease uint64, end End, victim Victim) Sentence {
 	e := b.current(now, f)
 	if e == nil || lease == 0 || e.lease != lease {
 		return Sentence{}
@@ -185,7 +209,7 @@
 	case RanClean:
 		b.clear(now, e)
 	case TargetDied:
-		b.died(now, e)
+		b.died(now, e, victim)
 	}
 	return Sentence{Convicted: e.convictedUntil, Suspect: e.suspectUntil}
 }
--- a/internal/wire/canary.go
+++ b/internal/wire/canary.go
@@ -14,6 +14,7 @@
 		Within:      int64(c.Within),
 		Lease:       c.Lease,
 		End:         int32(c.End),
+		Victim:      uint64(c.Victim),
 	})
 }
 
@@ -31,6 +32,7 @@
 		Within:      min(max(0, time.Duration(m.GetWithin())), maxLease),
 		Lease:       m.GetLease(),
 		End:         quarantine.End(m.GetEnd()),
+		Victim:      quarantine.Victim(m.GetVictim()),
 	}, nil
 }
 
