A request sent again never takes the connection that carried it before

A target of the garble kind sends a second reply late, where the next one is awaited; its id is that of the request, so it passed for the reply to the repeat. Ruled out: stray replies to other requests (their id differs and is skipped), the merge of handed over and own parts, the deadline on writes that is new. Change: a connection remembers the last 16 requests that it carried, and a request takes one that has not carried it, or a new one. Test: TestRepeatedRequestTakesAnotherConnection fails before ("second reply").

--- a/internal/edge/upstream/conn.go
+++ b/internal/edge/upstream/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -31,6 +32,9 @@
 	// hold few leave room for their own return.
 	extraKeepAlive  = time.Second
 	readBufferBytes = 4 << 10
+	// rememberedIDs is the number of requests that a connection remembers. A second reply
+	// comes where the next one is awaited, or a few later.
+	rememberedIDs = 16
 	// stalledWrite is how long a target may take no bytes before the sender looks for an
 	// early answer. An answer that waits unread delays only a rejected request.
 	stalledWrite = 20 * time.Millisecond
@@ -41,8 +45,22 @@
 	net.Conn
 	reader  *bufio.Reader
 	expires time.Time
+	// carried are the ids of the last requests on the connection, the next of them at place
+	// next replaced first.
+	carried [rememberedIDs]string
+	next    int
 }
 
+// note remembers a request that the connection carries.
+func (c *conn) note(id string) {
+	c.carried[c.next] = id
+	c.next = (c.next + 1) % rememberedIDs
+}
+
+// hasCarried reports whether the connection carried the request lately. A second reply to
+// it may still be on its way, and the id would not tell that from the reply to come.
+func (c *conn) hasCarried(id string) bool { return slices.Contains(c.carried[:], id) }
+
 func dial(address string, timeout time.Duration) (*conn, error) {
 	d := net.Dialer{Timeout: min(timeout, dialTimeout), Control: setUserTimeout}
 	c, err := d.DialContext(context.Background(), "tcp", address)
@@ -141,10 +159,11 @@
 
 func newPool() *pool { return &pool{idle: map[string][]*conn{}} }
 
-// take returns the connection to a target that was used last, nil for none.
-func (p *pool) take(key string) *conn {
+// take returns the connection to a target that was used last and has not carried the
+// request with this id, nil for none.
+func (p *pool) take(key, id string) *conn {
 	for {
-		c := p.pop(key)
+		c := p.pop(key, id)
 		if c == nil {
 			return nil
 		}
@@ -155,17 +174,17 @@
 	}
 }
 
-func (p *pool) pop(key string) *conn {
+func (p *pool) pop(key, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[key]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !c.hasCarried(id) {
+			p.idle[key] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.idle[key] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *pool) put(key string, c *conn) {
--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -132,7 +132,7 @@
 	if left <= 0 {
 		return ended(relay.Unsent, "no time left")
 	}
-	conn := c.pool.take(poolKey(s.Target))
+	conn := c.pool.take(poolKey(s.Target), s.Request.ID)
 	if conn == nil {
 		fresh, err := dial(s.Target.Address, left)
 		if err != nil {
@@ -188,6 +188,7 @@
 // roundTrip sends the request and reads its reply; keep tells whether the connection may
 // carry another exchange.
 func (c *Client) roundTrip(s *relay.Send, conn *conn, left time.Duration, traceParent string) (reply *relay.Reply, keep bool) {
+	conn.note(s.Request.ID)
 	until := time.Now().Add(left + replyGrace)
 	if err := conn.SetReadDeadline(until); err != nil {
 		return ended(relay.Lost, err.Error()), false
--- a/internal/edge/upstream/upstream_test.go
+++ b/internal/edge/upstream/upstream_test.go
@@ -292,3 +292,26 @@
 		t.Errorf("%d idle connections to a target that left, want 0", got)
 	}
 }
+
+// TestRepeatedRequestTakesAnotherConnection sends one request twice to a target whose
+// second reply to the first comes where the next reply is awaited: the id cannot tell it
+// from the reply to the repeat.
+func TestRepeatedRequestTakesAnotherConnection(t *testing.T) {
+	r := newRig(t, func(c net.Conn, id string, n int) error {
+		if n > 0 {
+			if err := ok(c, "a", "second reply"); err != nil {
+				return err
+			}
+		}
+		return ok(c, id, "reply to "+id)
+	})
+	for _, id := range []string{"a", "b", "a", "c"} {
+		reply := r.do(id, enough)
+		if reply.Outcome != relay.Answered || string(reply.Response.Body) != "reply to "+id {
+			t.Fatalf("%s: %v with %+v", id, reply.Outcome, reply.Response)
+		}
+	}
+	if n := r.target.accepted.Load(); n != 2 {
+		t.Errorf("%d connections, want 2: only the repeat needs another", n)
+	}
+}
