Measure the way to other hosts before the first handoff

Cause: the way to a peer began as its first handoff took, often 80 to 140 ms where it is 41, as that made the link or ran on a host that had just started. Ruled out: slow targets (the parts came 5 ms later), the peers' own work (their elapsed time is taken off). Change: the calls by which hosts exchange members tell the way to each availability zone, least of all, without the time to make a link; a peer's mean begins there, and targets of zones not asked yet are judged by it too. A peer gathers for a quarter of the objective at least, and is waited for over twice its way. Tests: TestPeerIsToldTheMeasuredWay, TestWayLongerThanTheObjective, TestLateHandoffIsGathered; each fails before.

--- a/internal/core/relay/delegate.go
+++ b/internal/core/relay/delegate.go
@@ -17,8 +17,10 @@
 	// handoffSlack is how much before this host's cutoff a peer's answer should be here, for
 	// the spread of the way.
 	handoffSlack = 5 * time.Millisecond
-	// peerGrace is how long after the cutoff the answer of a peer is awaited.
+	// peerGrace is how long after the cutoff the answer of a peer is awaited, and wayShare
+	// times the way to it where that is longer: the other half is the peer's own work.
 	peerGrace = 60 * time.Millisecond
+	wayShare  = 2
 )
 
 // HandoffID identifies a part of a query that a peer gathers.
@@ -153,7 +155,7 @@
 	return Gather{
 		Route: r.route.Name, Services: []string{sh.service.name}, TopK: r.route.TopK, MaxAttempts: 1,
 		Objective: r.route.Objective, Timeout: r.deadline - r.started, Regions: r.route.Regions,
-		Age: now.Mono - r.started + p.delayEstimate(), Direct: true,
+		Age: now.Mono - r.started + e.way(p), Direct: true,
 	}
 }
 
@@ -245,14 +247,14 @@
 	}
 	fx.Records = append(fx.Records, decision.New("handed_over",
 		decision.String("request", r.ID), decision.String("route", r.route.Name), decision.String("peer", p.Host),
-		decision.Int("shards", len(shards)), decision.Int("open_at_peer", len(p.open)), decision.Millis("way", p.delayEstimate()),
+		decision.Int("shards", len(shards)), decision.Int("open_at_peer", len(p.open)), decision.Millis("way", e.way(p)),
 		decision.Millis("age", now.Mono-r.started)))
 	fx.Handoffs = append(fx.Handoffs, Handoff{
 		ID: g.id, Peer: p.Host, Request: r.Request, Deadline: r.deadline,
 		Gather: Gather{
 			Route: r.route.Name, Services: services, TopK: r.route.TopK, MaxAttempts: attempts, Repeat: repeat,
 			Objective: r.route.Objective, Timeout: r.deadline - r.started, Regions: r.route.Regions,
-			Age: now.Mono - r.started + r.margin + p.delayEstimate() + handoffSlack,
+			Age: now.Mono - r.started + r.margin + e.way(p) + handoffSlack,
 		},
 	})
 }
@@ -270,7 +272,7 @@
 	g.request.open--
 	if ev.Answer != nil {
 		g.peer.lastReply = now.Mono
-		g.peer.delay.Add(max(0, now.Mono-g.handed-ev.Spent))
+		e.addWay(g.peer, max(0, now.Mono-g.handed-ev.Spent))
 	} else {
 		g.peer.heldUntil = now.Mono + peerHold
 	}
@@ -331,7 +333,7 @@
 
 // lookAtGroup waits on for a peer's answer, and gives it up where it is overdue.
 func (e *Engine) lookAtGroup(now clock.Instant, r *request, g *group, fx *Effects) (due time.Duration) {
-	due = min(r.deadline, r.cutoff+peerGrace)
+	due = min(r.deadline, max(r.cutoff, g.handed+wayShare*e.way(g.peer))+peerGrace)
 	if now.Mono < due || !g.open {
 		return due
 	}
--- a/internal/core/relay/delegate_test.go
+++ b/internal/core/relay/delegate_test.go
@@ -69,6 +69,83 @@
 	}
 }
 
+// TestPeerIsToldTheMeasuredWay lets messages to the peers' zones take a time that is far
+// from the assumed one, and the first handoff make its link: what the peers are told of
+// the age is the measured way all the same, so that they do not answer too early.
+func TestPeerIsToldTheMeasuredWay(t *testing.T) {
+	const way = 10 * time.Millisecond
+	w := worldWithPeers(t, 4, 10)
+	for _, took := range []time.Duration{5 * way, way, 2 * way} {
+		w.step(&Way{Zone: "z1", Took: took})
+		w.step(&Way{Zone: "z2", Took: took})
+	}
+	for i := range 6 {
+		took := way
+		if i == 0 {
+			took = 6 * way
+		}
+		for _, m := range members(6) {
+			w.peers[m.Host] = func(w *world, h *Handoff) (*HandoffEnded, time.Duration) {
+				ended, _ := gathers(w, h)
+				return ended, took + ended.Spent
+			}
+		}
+		w.submit("/all/x")
+		w.pass(timeout)
+	}
+	if len(w.hands) != 6 {
+		t.Fatalf("%d handoffs", len(w.hands))
+	}
+	for i, h := range w.hands {
+		told := h.Gather.Age - objective/cutoffShare - handoffSlack
+		if told < way || told > 2*way {
+			t.Errorf("handoff %d is told a way of %v, want about %v", i, told, way)
+		}
+	}
+}
+
+// TestWayLongerThanTheObjective has all targets so far away that no answer can be in
+// time: it is late and whole, and the peer is not taken for a silent one.
+func TestWayLongerThanTheObjective(t *testing.T) {
+	const way = 2 * objective
+	w := worldWithPeers(t, 10, 10)
+	w.step(&Way{Zone: "z1", Took: way})
+	w.step(&Way{Zone: "z2", Took: way})
+	for _, m := range members(6) {
+		w.peers[m.Host] = func(w *world, h *Handoff) (*HandoffEnded, time.Duration) {
+			ended, _ := gathers(w, h)
+			return ended, way + ended.Spent
+		}
+	}
+	for range 3 {
+		key := w.submit("/all/x")
+		w.pass(timeout)
+		a := w.answer(key)
+		if a.Code != result.OK || a.Missing != 0 || w.took[key] > way+2*workTime {
+			t.Errorf("code %v, %d missing after %v", a.Code, a.Missing, w.took[key])
+		}
+	}
+	if len(w.hands) != 3 || len(w.sends) != 0 {
+		t.Errorf("%d handoffs and %d sends for 3 queries", len(w.hands), len(w.sends))
+	}
+}
+
+// TestLateHandoffIsGathered serves a handoff whose way leaves no time: it is gathered all
+// the same.
+func TestLateHandoffIsGathered(t *testing.T) {
+	w := newWorld(t, 4)
+	w.warmUp()
+	w.nextKey++
+	w.step(&Submit{Request: &Request{Key: w.nextKey, ID: "h", Gather: &Gather{
+		Route: "/all/", Services: []string{"s00", "s01", "s02"}, TopK: 3, MaxAttempts: 2,
+		Objective: objective, Timeout: timeout, Age: 2 * objective,
+	}}})
+	w.pass(timeout)
+	if a := w.answer(w.nextKey); a.Code != result.OK || a.Missing != 0 {
+		t.Errorf("code %v, %d parts missing", a.Code, a.Missing)
+	}
+}
+
 // TestPeerThatHasNotHadTheQuery is passed over: another peer gets it, and the answer is
 // whole.
 func TestPeerThatHasNotHadTheQuery(t *testing.T) {
--- a/internal/core/relay/engine.go
+++ b/internal/core/relay/engine.go
@@ -96,7 +96,7 @@
 		requests: map[uint64]*request{},
 		attempts: map[AttemptID]*attempt{},
 		groups:   map[HandoffID]*group{},
-		zones:    zoneDelays{own: cfg.Zone, floors: map[string]time.Duration{}},
+		zones:    zoneDelays{own: cfg.Zone, floors: map[string]time.Duration{}, ways: map[string]time.Duration{}},
 		counters: Counters{Outcomes: map[string]uint64{}},
 	}
 }
@@ -116,6 +116,8 @@
 		e.setPeers(ev.Members, fx)
 	case *Drain:
 		e.drain(now, ev.Until)
+	case *Way:
+		e.zones.heardFrom(ev.Zone, ev.Took)
 	case *RetryChanged:
 		e.cfg.Retry = ev.Policy
 		e.share()
--- a/internal/core/relay/event.go
+++ b/internal/core/relay/event.go
@@ -108,6 +108,12 @@
 // RetryChanged puts another bound on retries in force.
 type RetryChanged struct{ Policy RetryPolicy }
 
+// Way tells how long a short message took to a host of an availability zone and back.
+type Way struct {
+	Zone string
+	Took time.Duration
+}
+
 // Reply is the end of one attempt.
 type Reply struct {
 	Attempt AttemptID
@@ -128,6 +134,7 @@
 func (*Reply) event()        {}
 func (*Drain) event()        {}
 func (*RetryChanged) event() {}
+func (*Way) event()          {}
 
 // Send asks for one request to one target.
 type Send struct {
--- a/internal/core/relay/peer.go
+++ b/internal/core/relay/peer.go
@@ -15,7 +15,8 @@
 	leastConnections = 2
 )
 
-// priorPeerDelay is the assumed time on the way to a peer and back until it is measured.
+// priorPeerDelay is the assumed time on the way to a peer and back until a message went
+// to its availability zone.
 var priorPeerDelay = [distances]time.Duration{2 * time.Millisecond, 4 * time.Millisecond, 45 * time.Millisecond}
 
 // peer is what the host knows of another host that takes queries.
@@ -31,13 +32,27 @@
 	delay quantile.Spread
 }
 
-func (p *peer) delayEstimate() time.Duration {
+// way is the time to a peer and back: the mean of its handoffs, before the first of them
+// the least that a message to its availability zone took.
+func (e *Engine) way(p *peer) time.Duration {
 	if mean := p.delay.Mean(); mean > 0 {
 		return mean
 	}
+	if least, known := e.zones.ways[p.Zone]; known {
+		return least
+	}
 	return priorPeerDelay[p.distance]
 }
 
+// addWay takes the way of a handoff. The mean begins at what was known before, as the
+// first handoffs may have made the link that they took.
+func (e *Engine) addWay(p *peer, took time.Duration) {
+	if p.delay.Mean() == 0 {
+		p.delay.Add(max(e.way(p), time.Microsecond))
+	}
+	p.delay.Add(took)
+}
+
 // load is the queries in progress relative to the peer's capacity.
 func (p *peer) load() float64 { return float64(len(p.open)+p.carried+1) / float64(max(1, p.Capacity)) }
 
--- a/internal/core/relay/submit.go
+++ b/internal/core/relay/submit.go
@@ -17,6 +17,9 @@
 	cutoffShare     = 10
 	minCutoffMargin = 8 * time.Millisecond
 	maxCutoffMargin = 16 * time.Millisecond
+	// leastGatherShare is the share of the objective, as 1/n, that the shards of a handoff
+	// have at least.
+	leastGatherShare = 4
 	// offerShare is the share of the objective, as 1/n, after which a request that no
 	// target had room for is refused, so that its caller can come back in time.
 	offerShare = 4
@@ -87,6 +90,10 @@
 		r.deadline = min(r.deadline, e.drainUntil)
 	}
 	r.cutoff = now.Mono + max(0, route.Objective-r.margin)
+	if rq.Gather != nil {
+		// A way that leaves no time makes the answer late, not empty.
+		r.cutoff = max(r.cutoff, now.Mono+route.Objective/leastGatherShare)
+	}
 	r.offerBy = now.Mono + route.Objective/offerShare
 	names := e.servicesOf(route)
 	r.shards = make([]shard, len(names))
--- a/internal/core/relay/zone.go
+++ b/internal/core/relay/zone.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// priorExtra is the assumed time that the way to a target adds until it is measured.
+// priorExtra is the assumed time that the way to a target adds until any message went to
+// its zone.
 var priorExtra = [distances]time.Duration{0, 4 * time.Millisecond, 45 * time.Millisecond}
 
 // floorRise is the share by which the least time seen rises with each sample, so that it
@@ -14,6 +15,15 @@
 type zoneDelays struct {
 	own    string
 	floors map[string]time.Duration
+	// ways is the least time of a message to a host of the zone and back.
+	ways map[string]time.Duration
+}
+
+// heardFrom takes the time of a message to a host of the zone and back.
+func (z *zoneDelays) heardFrom(zone string, took time.Duration) {
+	if least, known := z.ways[zone]; !known || took < least {
+		z.ways[zone] = took
+	}
 }
 
 func (z *zoneDelays) add(zone string, elapsed time.Duration) {
@@ -25,13 +35,17 @@
 	z.floors[zone] = floor + time.Duration(floorRise*float64(floor))
 }
 
-// extra is the time that the way to the target adds.
+// extra is the time that the way to the target adds: before any request, that of a
+// message to a host of its zone.
 func (z *zoneDelays) extra(t *target) time.Duration {
 	if t.distance == sameZone {
 		return 0
 	}
 	floor, known := z.floors[t.spec.Zone]
 	own, ownKnown := z.floors[z.own]
+	if way, heard := z.ways[t.spec.Zone]; heard && (!known || !ownKnown) {
+		return way
+	}
 	if !known || !ownKnown {
 		return priorExtra[t.distance]
 	}
--- a/internal/edge/mesh/call.go
+++ b/internal/edge/mesh/call.go
@@ -67,7 +67,12 @@
 	if err := stream.SetDeadline(deadline); err != nil {
 		return nil, fmt.Errorf("%w: set deadline: %w", ErrNotSent, err)
 	}
-	return m.roundTrip(stream, &wire.Request{Kind: kind, Payload: payload})
+	begin := time.Now()
+	reply, err := m.roundTrip(stream, &wire.Request{Kind: kind, Payload: payload})
+	if err == nil && m.options.Trip != nil {
+		m.options.Trip(l.peer, kind, time.Since(begin))
+	}
+	return reply, err
 }
 
 func (m *Mesh) roundTrip(stream *yamux.Stream, req *wire.Request) ([]byte, error) {
--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -73,6 +73,9 @@
 	Emit func(membership.Event) bool
 	// Dial replaces the plain TCP dial where it is set.
 	Dial DialFunc
+	// Trip takes how long a call took on its link, without the time to make the link; nil
+	// for no interest.
+	Trip func(peer string, kind wire.CallKind, took time.Duration)
 	// Open lets any host join without certificates, on a network that only the system's
 	// hosts reach. Names are learned from hellos, and the sessions' own keep-alive tells a
 	// dead link, since no heartbeats need be sent.
--- a/internal/gateway/fleeting.go
+++ b/internal/gateway/fleeting.go
@@ -34,8 +34,10 @@
 	exchanges *ring.Ring[*fleet.Exchange]
 	mesh      *mesh.Mesh
 	onRoster  func([]fleet.Member)
-	record    func(*decision.Record)
-	log       zerolog.Logger
+	// onWay takes how long a message to a host of an availability zone and back took.
+	onWay  func(zone string, took time.Duration)
+	record func(*decision.Record)
+	log    zerolog.Logger
 	// table is what peers are told of the members.
 	table atomic.Pointer[fleet.Table]
 }
@@ -51,7 +53,7 @@
 	var err error
 	f.mesh, err = mesh.Start(mesh.Options{
 		Host: s.Host, Zone: s.Zone, Incarnation: membership.Incarnation{Started: started, Nonce: seed},
-		Listen: s.Listen.Mesh, Open: true, Log: log, Emit: f.linkEvent,
+		Listen: s.Listen.Mesh, Open: true, Log: log, Emit: f.linkEvent, Trip: f.trip,
 	})
 	if err != nil {
 		return nil, err
@@ -64,6 +66,20 @@
 	return f, nil
 }
 
+// trip takes how long a call took on its link. Those of members are short and answered at
+// once, so that they tell the way.
+func (f *fleeting) trip(peer string, kind wire.CallKind, took time.Duration) {
+	if kind != wire.CallKind_CALL_KIND_GOSSIP {
+		return
+	}
+	for _, m := range f.table.Load().Members() {
+		if m.Host == peer {
+			f.onWay(m.Zone, took)
+			return
+		}
+	}
+}
+
 // linkEvent takes what the mesh tells of links. That a link ended is no news of its peer:
 // the next call makes another.
 func (f *fleeting) linkEvent(membership.Event) bool { return true }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,6 +117,8 @@
 	}
 	g.fleet.record = g.write
 	g.fleet.onRoster = g.onRoster
+	// One that finds the ring full is measured again with the next exchange.
+	g.fleet.onWay = func(zone string, took time.Duration) { g.relaying.put(&relay.Way{Zone: zone, Took: took}) }
 	g.exchange.handing = newHanding(g.clock, g.fleet.mesh, g.relaying, g.waiters, g.log, o.Tracer)
 	g.follow = newFollowing(g.settings, o.Store, g.clock, seed, g.log)
 	g.follow.mesh = g.fleet.mesh
