The host that hands shards over keeps half of what they earn for retries

Cause: only the host that sends a first request earned from it for the retry budget. For shards that are handed to a peer that is the peer, which answers before its cutoff and seldom repeats; the host that must repeat what the peer left out had the two tokens of its start and no more. Change: a hub that hands over earns half and says so (sender_repeats); the peer earns the other half. A host that is no hub may not ask targets and leaves all to the peer. What was handed over and not had is given back, so that the sum over all hosts stays the ratio of the first requests. Also: a peer to which the way leaves some time keeps its cutoff; only where it leaves less than a sixteenth of the objective does it gather for a quarter.

--- a/internal/core/relay/budget.go
+++ b/internal/core/relay/budget.go
@@ -27,7 +27,19 @@
 	b.tokens = min(b.tokens, capacity)
 }
 
-func (b *retryBudget) earn(p RetryPolicy) { b.tokens = min(b.tokens+p.Ratio, b.capacity) }
+// handedShare is the part of what a first request earns that goes to the host that hands
+// it over; the rest goes to the peer that sends it. Either may have to repeat it.
+const handedShare = 0.5
+
+// earn takes the share of what a first request earns that is this host's.
+func (b *retryBudget) earn(p RetryPolicy, share float64) {
+	b.tokens = min(b.tokens+share*p.Ratio, b.capacity)
+}
+
+// unearn gives back what was earned for a request that was not sent.
+func (b *retryBudget) unearn(p RetryPolicy, share float64) {
+	b.tokens = max(0, b.tokens-share*p.Ratio)
+}
 
 // spend takes the token of one extra request and reports whether there was one.
 func (b *retryBudget) spend() bool {
--- a/internal/core/relay/delegate.go
+++ b/internal/core/relay/delegate.go
@@ -51,6 +51,9 @@
 	// Direct asks for one attempt at a target of the peer's region, for which the host that
 	// asks has paid from its own retry budget.
 	Direct bool
+	// SenderRepeats tells that the host that asks may repeat the shards itself and keeps its
+	// part of what their first requests earn.
+	SenderRepeats bool
 	// Repeat tells that the shards may have been asked already, so that each attempt is an
 	// extra one.
 	Repeat bool
@@ -84,6 +87,8 @@
 	shards  []int
 	handed  time.Duration
 	open    bool
+	// senderRepeats is as in the group's Gather.
+	senderRepeats bool
 	// body holds the greatest records of the group's parts.
 	body []byte
 }
@@ -229,7 +234,7 @@
 
 func (e *Engine) handOff(now clock.Instant, r *request, p *peer, shards []int, fx *Effects) {
 	e.lastHandoff++
-	g := &group{id: e.lastHandoff, peer: p, request: r, shards: shards, handed: now.Mono, open: true}
+	g := &group{id: e.lastHandoff, peer: p, request: r, shards: shards, handed: now.Mono, open: true, senderRepeats: e.isHub(e.cfg.Host)}
 	e.groups[g.id] = g
 	p.open = append(p.open, g)
 	r.groups = append(r.groups, g)
@@ -244,6 +249,9 @@
 		services[n] = sh.service.name
 		attempts = min(attempts, r.route.MaxAttempts-sh.ran)
 		repeat = repeat || sh.arrived > 0
+		if g.senderRepeats && sh.arrived == 0 {
+			sh.service.budget.earn(e.cfg.Retry, handedShare)
+		}
 	}
 	fx.Records = append(fx.Records, decision.New("handed_over",
 		decision.String("request", r.ID), decision.String("route", r.route.Name), decision.String("peer", p.Host),
@@ -252,7 +260,7 @@
 	fx.Handoffs = append(fx.Handoffs, Handoff{
 		ID: g.id, Peer: p.Host, Request: r.Request, Deadline: r.deadline,
 		Gather: Gather{
-			Route: r.route.Name, Services: services, TopK: r.route.TopK, MaxAttempts: attempts, Repeat: repeat,
+			Route: r.route.Name, Services: services, TopK: r.route.TopK, MaxAttempts: attempts, Repeat: repeat, SenderRepeats: g.senderRepeats,
 			Objective: r.route.Objective, Timeout: r.deadline - r.started, Regions: r.route.Regions,
 			Age: now.Mono - r.started + r.margin + e.way(p) + handoffSlack,
 		},
@@ -318,6 +326,9 @@
 	for _, i := range g.shards {
 		sh := &r.shards[i]
 		sh.group = nil
+		if notSent && sh.arrived == 0 && g.senderRepeats {
+			sh.service.budget.unearn(e.cfg.Retry, handedShare)
+		}
 		if sh.done || notSent {
 			continue
 		}
--- a/internal/core/relay/delegate_test.go
+++ b/internal/core/relay/delegate_test.go
@@ -364,6 +364,36 @@
 	}
 }
 
+// TestHandedOverShardsEarnRetries lets peers leave one shard out of each answer: this host
+// repeats it itself, within its part of what the first requests earn.
+func TestHandedOverShardsEarnRetries(t *testing.T) {
+	const queries = 300
+	w := worldWithPeers(t, 4, 10)
+	for _, m := range members(6) {
+		w.peers[m.Host] = func(w *world, h *Handoff) (*HandoffEnded, time.Duration) {
+			ended, took := gathers(w, h)
+			ended.Answer.Parts = ended.Answer.Parts[1:]
+			return ended, took
+		}
+	}
+	repeats := 0
+	for range queries {
+		w.sends = nil
+		w.submit("/all/x")
+		w.pass(timeout)
+		for _, s := range w.sends {
+			if s.Target.Service == "s00" {
+				repeats++
+			}
+		}
+	}
+	ratio, slack := w.e.cfg.Retry.Ratio, w.e.cfg.Retry.Slack/float64(w.e.hosts)
+	least, most := 0.9*handedShare*ratio*queries, handedShare*ratio*queries+slack
+	if float64(repeats) < least || float64(repeats) > most {
+		t.Errorf("%d repeats of %d shards handed over, want %.0f to %.0f", repeats, queries, least, most)
+	}
+}
+
 // TestSilentPeerMayHaveUsedAllAttempts adds a third target to each shard: after a peer
 // that had the shards fell silent, no further target is asked.
 func TestSilentPeerMayHaveUsedAllAttempts(t *testing.T) {
--- a/internal/core/relay/place.go
+++ b/internal/core/relay/place.go
@@ -134,7 +134,7 @@
 	case !a.extra:
 		e.counters.FirstAttempts++
 		if !r.direct() {
-			sh.service.budget.earn(e.cfg.Retry)
+			sh.service.budget.earn(e.cfg.Retry, r.earnedShare())
 		}
 	case a.hedge:
 		e.counters.Hedges++
--- a/internal/core/relay/request.go
+++ b/internal/core/relay/request.go
@@ -106,6 +106,14 @@
 // direct reports whether a peer wants this host to ask a target of its own region, once.
 func (r *request) direct() bool { return r.Gather != nil && r.Gather.Direct }
 
+// earnedShare is the part of what a first request earns that is this host's.
+func (r *request) earnedShare() float64 {
+	if r.Gather != nil && r.Gather.SenderRepeats {
+		return 1 - handedShare
+	}
+	return 1
+}
+
 func (r *request) gathers() bool { return len(r.route.Gather) > 0 }
 
 // coverage is the share of shards whose part is in.
--- a/internal/core/relay/submit.go
+++ b/internal/core/relay/submit.go
@@ -17,9 +17,10 @@
 	cutoffShare     = 10
 	minCutoffMargin = 8 * time.Millisecond
 	maxCutoffMargin = 16 * time.Millisecond
-	// leastGatherShare is the share of the objective, as 1/n, that the shards of a handoff
-	// have at least.
-	leastGatherShare = 4
+	// hopelessShare is the share of the objective, as 1/n, below which the time that is left
+	// to a handoff is no use, and lateGatherShare the share that it has then.
+	hopelessShare   = 16
+	lateGatherShare = 4
 	// offerShare is the share of the objective, as 1/n, after which a request that no
 	// target had room for is refused, so that its caller can come back in time.
 	offerShare = 4
@@ -90,9 +91,9 @@
 		r.deadline = min(r.deadline, e.drainUntil)
 	}
 	r.cutoff = now.Mono + max(0, route.Objective-r.margin)
-	if rq.Gather != nil {
+	if rq.Gather != nil && r.cutoff < now.Mono+route.Objective/hopelessShare {
 		// A way that leaves no time makes the answer late, not empty.
-		r.cutoff = max(r.cutoff, now.Mono+route.Objective/leastGatherShare)
+		r.cutoff = now.Mono + route.Objective/lateGatherShare
 	}
 	r.offerBy = now.Mono + route.Objective/offerShare
 	names := e.servicesOf(route)
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -59,7 +59,7 @@
 	call := &GatherCall{
 		Handoff: uint64(h.ID), Id: r.ID, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body, TraceParent: r.TraceParent,
 		Route: g.Route, Services: g.Services, TopK: uint32(g.TopK), MaxAttempts: uint32(g.MaxAttempts),
-		Objective: int64(g.Objective), Timeout: int64(g.Timeout), Age: int64(g.Age), Regions: g.Regions, Direct: g.Direct, Repeat: g.Repeat,
+		Objective: int64(g.Objective), Timeout: int64(g.Timeout), Age: int64(g.Age), Regions: g.Regions, Direct: g.Direct, Repeat: g.Repeat, SenderRepeats: g.SenderRepeats,
 	}
 	for _, f := range r.Headers {
 		call.Headers = append(call.Headers, &HeaderField{Name: f.Name, Value: f.Value})
@@ -74,7 +74,7 @@
 		Gather: &relay.Gather{
 			Route: x.GetRoute(), Services: x.GetServices(), TopK: int(x.GetTopK()), MaxAttempts: int(x.GetMaxAttempts()),
 			Objective: time.Duration(x.GetObjective()), Timeout: time.Duration(x.GetTimeout()),
-			Age: time.Duration(x.GetAge()), Regions: x.GetRegions(), Direct: x.GetDirect(), Repeat: x.GetRepeat(),
+			Age: time.Duration(x.GetAge()), Regions: x.GetRegions(), Direct: x.GetDirect(), Repeat: x.GetRepeat(), SenderRepeats: x.GetSenderRepeats(),
 		},
 	}
 	for _, f := range x.GetHeaders() {
