--- /dev/null
+++ b/internal/experiment/clients.go
@@ -0,0 +1,36 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"pollentack.example/pollentack/internal/duty"
+)
+
+// startClients runs n clients beside each other, each with random numbers of its own that
+// follow from the seed. It returns how to wait until all have ended, which must follow.
+func startClients(n int, seed uint64, client func(rng *rand.Rand, i int)) (wait func(), err error) {
+	workers, err := duty.NewWorkers(n)
+	if err != nil {
+		return nil, err
+	}
+	var running sync.WaitGroup
+	wait = func() {
+		running.Wait()
+		workers.Close()
+	}
+	for i := range n {
+		rng := rand.New(rand.NewPCG(seed, uint64(i)))
+		running.Add(1)
+		err := workers.Submit(func() {
+			defer running.Done()
+			client(rng, i)
+		})
+		if err != nil {
+			running.Done()
+			wait()
+			return nil, err
+		}
+	}
+	return wait, nil
+}
