Look for a broken connection before a body runs under a lease

Cause, not traced to the end: the innocent body that was convicted last lost two targets within 30 ms, the second 11 ms after it was sent. A host that has not noticed the death of a target writes to a kept connection which that death has broken, and takes the loss for one of this body. Change: the guard of an attempt under a lease asks for the short call that cold targets get; the HTTP client repeats it until it meets a connection that holds. Test: TestNeedsCheck; the fault matrix and TestCrashingBody hold.

--- a/internal/core/engine/effect.go
+++ b/internal/core/engine/effect.go
@@ -31,6 +31,9 @@
 	// Check asks to compare it with the health endpoint's before the request goes out on
 	// a new connection.
 	Check bool
+	// Probe asks for a call first that finds out whether the target has ended the
+	// connection, so that a loss after it is the loss of a target that runs the request.
+	Probe bool
 	// Spare is the part of this host's share of the target's connections that requests
 	// never use, left for cancellations and health checks.
 	Spare int
--- a/internal/core/engine/scatter.go
+++ b/internal/core/engine/scatter.go
@@ -94,6 +94,7 @@
 		Deadline: q.Deadline,
 	}
 	e.grant(&send)
+	send.Probe = q.Canary.Lease != 0
 	fx.Sends = append(fx.Sends, send)
 	return c
 }
--- a/internal/edge/targetclient/connections.go
+++ b/internal/edge/targetclient/connections.go
@@ -136,7 +136,9 @@
 }
 
 // needsCheck reports whether a request must follow a check of its target.
-func needsCheck(g *engine.Guard, dials bool) bool { return g.NotAfter != 0 || dials && g.Check }
+func needsCheck(g *engine.Guard, dials bool) bool {
+	return g.NotAfter != 0 || g.Probe || dials && g.Check
+}
 
 // checkIncarnation asks the health endpoint, over a connection that the request will
 // use, whether the target is the one that the engine knows. A target whose health
