--- a/cmd/pollentack/soak_test.go
+++ b/cmd/pollentack/soak_test.go
@@ -66,6 +66,8 @@
 	processes []*process
 	version   int
 	steps     []string
+	// readyAsks numbers the requests that ask whether hosts serve.
+	readyAsks int
 	facts     facts
 }
 
@@ -241,7 +243,9 @@
 	for begin := time.Now(); time.Since(begin) < within; time.Sleep(50 * time.Millisecond) {
 		away = nil
 		for host := range s.processes {
-			a, err := platformtest.Ask(http.DefaultClient, s.site.Fronts[host], http.MethodGet, "/search/x", "ready", soakDeadline)
+			s.readyAsks++
+			id := fmt.Sprintf("ready-%d", s.readyAsks)
+			a, err := platformtest.Ask(http.DefaultClient, s.site.Fronts[host], http.MethodGet, "/search/x", id, soakDeadline)
 			if err != nil || a.Status != http.StatusOK {
 				away = append(away, host)
 			}
