--- a/cmd/pollentack/settingsfile_test.go
+++ b/cmd/pollentack/settingsfile_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"pollentack.example/pollentack/internal/testbed"
 	"pollentack.example/pollentack/platform/platformtest"
 )
 
@@ -112,9 +113,7 @@
 
 func awaitTrue(t *testing.T, what string, done func() bool) {
 	t.Helper()
-	for begin := time.Now(); !done(); time.Sleep(20 * time.Millisecond) {
-		if time.Since(begin) > 15*time.Second {
-			t.Fatalf("waited in vain for %s", what)
-		}
+	if err := testbed.Await(what, done); err != nil {
+		t.Fatal(err)
 	}
 }
--- a/cmd/pollentack/soakchecks_test.go
+++ b/cmd/pollentack/soakchecks_test.go
@@ -17,12 +17,12 @@
 func soundFacts(begin time.Time) *facts {
 	f := &facts{published: []published{{version: 1, at: begin, calmTo: begin.Add(time.Minute)}}}
 	query := asked{id: "q", path: "/search/x", at: begin, ended: begin.Add(time.Millisecond), life: 1, sound: true, answer: &platformtest.Answer{Status: 200}}
-	header := http.Header{"Pollentack-Request-Deadline": {"1400"}}
+	const deadline = "1400"
 	records := make([]string, 0, soakShards)
 	for i := range soakShards {
 		s := served{instance: fmt.Sprintf("s%d-a", i), service: fmt.Sprintf("s%d", i), zone: "a", body: fmt.Sprintf("%-16s%-16s", fmt.Sprintf("b%d", i), fmt.Sprintf("a%d", i))}
 		proof := s.instance + ".1"
-		s.runs = []platformtest.Run{{ID: "q", Method: http.MethodGet, Proof: proof, Header: header, At: begin}}
+		s.runs = []platformtest.Run{{ID: "q", Method: http.MethodGet, Proof: proof, Deadline: deadline, At: begin}}
 		s.arrivals = []platformtest.Arrival{{ID: "q", At: begin}}
 		f.served = append(f.served, s)
 		query.answer.Proofs = append(query.answer.Proofs, proof)
@@ -32,14 +32,14 @@
 		query.answer.Body += records[soakShards-1-i]
 	}
 	desk := served{instance: "desk-a", service: "desk", zone: "a", body: "desk", runs: []platformtest.Run{
-		{ID: "f", Method: http.MethodPost, Proof: "desk-a.1", Header: header, At: begin},
+		{ID: "f", Method: http.MethodPost, Proof: "desk-a.1", Deadline: deadline, At: begin},
 	}, arrivals: []platformtest.Arrival{{ID: "f", At: begin}}}
 	file := query
 	file.id, file.path, file.answer = "f", "/file/x", &platformtest.Answer{Status: 200, Body: "desk"}
 	probe := query
 	probe.id, probe.path, probe.version = "p", platformtest.ProbePath(1)+"x", 1
 	probe.answer = &platformtest.Answer{Status: 200, Body: "desk"}
-	desk.runs = append(desk.runs, platformtest.Run{ID: "p", Method: http.MethodGet, Proof: "desk-a.2", Header: header, At: begin})
+	desk.runs = append(desk.runs, platformtest.Run{ID: "p", Method: http.MethodGet, Proof: "desk-a.2", Deadline: deadline, At: begin})
 	f.served = append(f.served, desk)
 	f.asked = []asked{query, file, probe}
 	return f
@@ -78,7 +78,7 @@
 		},
 		"connections stay under the limit": func(f *facts) { f.served[0].mostOpen = platformtest.MaxConnections + 1 },
 		"targets get the time that is left": func(f *facts) {
-			f.served[0].runs[0].Header = http.Header{"Pollentack-Request-Deadline": {"2100"}}
+			f.served[0].runs[0].Deadline = "2100"
 		},
 		"all hosts serve again": func(f *facts) { f.unrecovered = []int{2} },
 	}
--- a/cmd/pollentack/soakfaults_test.go
+++ b/cmd/pollentack/soakfaults_test.go
@@ -43,19 +43,15 @@
 // Each kind of fault draws what it needs and returns what to do; that blocks until the
 // fault is over.
 
-func (s *soak) term() func() {
-	host := s.anyHost()
-	return func() {
-		s.note("term %d", host)
-		s.restart(host, syscall.SIGTERM)
-	}
-}
+func (s *soak) term() func() { return s.end("term", syscall.SIGTERM) }
+
+func (s *soak) kill() func() { return s.end("kill", syscall.SIGKILL) }
 
-func (s *soak) kill() func() {
+func (s *soak) end(name string, sig syscall.Signal) func() {
 	host := s.anyHost()
 	return func() {
-		s.note("kill %d", host)
-		s.restart(host, syscall.SIGKILL)
+		s.note("%s %d", name, host)
+		s.restart(host, sig)
 	}
 }
 
@@ -90,22 +86,22 @@
 }
 
 func (s *soak) targetLink() func() {
-	target, state, d := s.anyTarget(), faultyLinks[s.rng.IntN(len(faultyLinks))], s.duration()
-	return func() {
-		s.note("link to %s state %d for %v", target.Instance, state, d)
-		target.Link.Set(state)
-		time.Sleep(d)
-		target.Link.Set(platformtest.LinkOpen)
-	}
+	target := s.anyTarget()
+	return s.failLink("to "+target.Instance, target.Link)
 }
 
 func (s *soak) storeLink() func() {
-	host, state, d := s.anyHost(), faultyLinks[s.rng.IntN(len(faultyLinks))], s.duration()
+	host := s.anyHost()
+	return s.failLink(fmt.Sprintf("of %d to the store", host), s.site.StoreLinks[host])
+}
+
+func (s *soak) failLink(name string, link *platformtest.Proxy) func() {
+	state, d := faultyLinks[s.rng.IntN(len(faultyLinks))], s.duration()
 	return func() {
-		s.note("link of %d to the store state %d for %v", host, state, d)
-		s.site.StoreLinks[host].Set(state)
+		s.note("link %s state %d for %v", name, state, d)
+		link.Set(state)
 		time.Sleep(d)
-		s.site.StoreLinks[host].Set(platformtest.LinkOpen)
+		link.Set(platformtest.LinkOpen)
 	}
 }
 
--- a/cmd/pollentack/soakobserver_test.go
+++ b/cmd/pollentack/soakobserver_test.go
@@ -358,10 +358,9 @@
 	var found []string
 	for i := range f.served {
 		for _, run := range f.served[i].runs {
-			text := run.Header.Get("Pollentack-Request-Deadline")
-			ms, err := strconv.Atoi(text)
+			ms, err := strconv.Atoi(run.Deadline)
 			if err != nil || ms <= 0 || time.Duration(ms)*time.Millisecond > soakDeadline+soakDeadlineSlack {
-				found = append(found, fmt.Sprintf("%s came with the deadline %q", run.ID, text))
+				found = append(found, fmt.Sprintf("%s came with the deadline %q", run.ID, run.Deadline))
 			}
 		}
 	}
--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -15,16 +15,26 @@
 
 // visitSources parses every Go file that is neither a test nor generated.
 func visitSources(t *testing.T, visit func(path string, fset *token.FileSet, file *ast.File)) {
+	t.Helper()
+	visitFiles(t, 0, func(path string, fset *token.FileSet, file *ast.File) {
+		if !strings.HasSuffix(path, "_test.go") {
+			visit(path, fset, file)
+		}
+	})
+}
+
+// visitFiles is visitSources with the test files.
+func visitFiles(t *testing.T, mode parser.Mode, visit func(path string, fset *token.FileSet, file *ast.File)) {
 	t.Helper()
 	fset := token.NewFileSet()
 	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") {
 			return err
 		}
-		if strings.HasSuffix(path, "_test.go") || strings.HasSuffix(path, ".pb.go") {
+		if strings.HasSuffix(path, ".pb.go") {
 			return nil
 		}
-		file, err := parser.ParseFile(fset, path, nil, 0)
+		file, err := parser.ParseFile(fset, path, nil, mode)
 		if err != nil {
 			return err
 		}
--- a/internal/arch/platform_test.go
+++ b/internal/arch/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"go/ast"
+	"go/parser"
 	"go/token"
 	"regexp"
 	"strings"
@@ -13,12 +14,17 @@
 	`\b(route_type|objective_ms|max_attempts|min_coverage|allowed_regions|cold_left_ms|non_idempotent|current_rev|has_more|internal_ports)\b`)
 
 // TestPlatformNamesStayInPlatform checks that no other folder knows the platform's names,
-// in strings or comments.
+// in strings or comments, tests included.
 func TestPlatformNamesStayInPlatform(t *testing.T) {
-	visitSources(t, func(path string, fset *token.FileSet, file *ast.File) {
-		if strings.HasPrefix(path, "platform/") {
+	visitFiles(t, parser.ParseComments, func(path string, fset *token.FileSet, file *ast.File) {
+		if strings.HasPrefix(path, "platform/") || path == "internal/arch/platform_test.go" {
 			return
 		}
+		for _, group := range file.Comments {
+			if platformNames.MatchString(group.Text()) {
+				t.Errorf("%s: a platform's name in a comment outside platform/", fset.Position(group.Pos()))
+			}
+		}
 		ast.Inspect(file, func(n ast.Node) bool {
 			if lit, ok := n.(*ast.BasicLit); ok && lit.Kind == token.STRING && platformNames.MatchString(lit.Value) {
 				t.Errorf("%s: the platform's name %s outside platform/", fset.Position(lit.Pos()), lit.Value)
--- a/internal/gateway/fleeting.go
+++ b/internal/gateway/fleeting.go
@@ -95,18 +95,7 @@
 }
 
 func (f *fleeting) run() {
-	var fx fleet.Effects
-	s := stepper[fleet.Event]{
-		clock: f.clock, inbox: f.inbox, nextWake: f.fleet.NextWake,
-		step: func(ev fleet.Event) {
-			f.fleet.Step(f.clock.Now(), ev, &fx)
-			f.carryOut(&fx)
-		},
-		advance: func() {
-			f.fleet.Advance(f.clock.Now(), &fx)
-			f.carryOut(&fx)
-		},
-	}
+	s := stepper[fleet.Event, fleet.Effects]{clock: f.clock, inbox: f.inbox, core: f.fleet, carryOut: f.carryOut}
 	s.run(&fleet.Start{})
 }
 
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -72,18 +72,7 @@
 }
 
 func (f *following) run() {
-	var fx discovery.Effects
-	s := stepper[discovery.Event]{
-		clock: f.clock, inbox: f.inbox, nextWake: f.follower.NextWake,
-		step: func(ev discovery.Event) {
-			f.follower.Step(f.clock.Now(), ev, &fx)
-			f.carryOut(&fx)
-		},
-		advance: func() {
-			f.follower.Advance(f.clock.Now(), &fx)
-			f.carryOut(&fx)
-		},
-	}
+	s := stepper[discovery.Event, discovery.Effects]{clock: f.clock, inbox: f.inbox, core: f.follower, carryOut: f.carryOut}
 	s.run(&discovery.Start{})
 }
 
