Discovery logs how long a lost call took and how old its contact is

The log could not tell a follower that waits for a silent peer from one whose sources fail one after another: source_lost had no duration, and config_in_force did not name its source.

Now source_lost and store_lost have waited_ms and contact_age_ms, and config_in_force has source and contact_age_ms. No decision changes.

go test ./internal/core/discovery passes.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -115,7 +115,11 @@
 	// progress.
 	nextCallAt     time.Duration
 	callInProgress bool
-	viewChanged    bool
+	// callStartedAt is when the last call was started, lastContactAt when a source last
+	// answered with up-to-date data.
+	callStartedAt time.Duration
+	lastContactAt time.Duration
+	viewChanged   bool
 	// complete is set once the view holds a whole catalog. Until then it is not published: a
 	// host that knows only the first pages of a list would answer without most of its shards,
 	// and one that knows only an outdated peer's items would use withdrawn ones.
@@ -208,12 +212,14 @@
 	if f.current != storeSource {
 		f.unavailableUntil[f.current] = now.Mono + peerRetryDelay
 		fx.Records = append(fx.Records, decision.Warning("source_lost",
-			decision.String("peer", f.current), decision.String("reason", ev.Reason), decision.Uint("revision", f.view.Revision)))
+			decision.String("peer", f.current), decision.String("reason", ev.Reason), decision.Uint("revision", f.view.Revision),
+			decision.Millis("waited", now.Mono-f.callStartedAt), decision.Millis("contact_age", now.Mono-f.lastContactAt)))
 		return
 	}
 	if f.storeFailures == 0 {
 		fx.Records = append(fx.Records, decision.Warning("store_lost",
-			decision.String("reason", ev.Reason), decision.Uint("revision", f.view.Revision)))
+			decision.String("reason", ev.Reason), decision.Uint("revision", f.view.Revision),
+			decision.Millis("waited", now.Mono-f.callStartedAt), decision.Millis("contact_age", now.Mono-f.lastContactAt)))
 	}
 	f.storeFailures++
 	f.completeWithoutStore()
@@ -242,6 +248,7 @@
 // starts at the revision of the first page.
 func (f *Follower) handlePage(now clock.Instant, ev *Page, fx *Effects) {
 	f.handleSuccess(fx)
+	f.lastContactAt = now.Mono
 	if f.listRevision == 0 {
 		f.listRevision = ev.Revision
 	}
@@ -306,6 +313,8 @@
 	f.view.Revision = max(f.view.Revision, ev.Revision)
 	if stale {
 		f.completeWithoutStore()
+	} else {
+		f.lastContactAt = now.Mono
 	}
 	f.nextCallAt = now.Mono
 	f.nextCallAt += f.coalesce(len(ev.Items) > 0)
@@ -340,7 +349,7 @@
 	}
 	switch it.Kind {
 	case ConfigItem:
-		f.applyConfig(it, fx)
+		f.applyConfig(now, it, fx)
 	case TargetItem:
 		f.applyTarget(now, it)
 	case ZoneItem:
@@ -350,7 +359,7 @@
 
 // applyConfig activates a configuration. If it was deleted or cannot be decoded, the
 // previous configuration stays active.
-func (f *Follower) applyConfig(it *Item, fx *Effects) {
+func (f *Follower) applyConfig(now clock.Instant, it *Item, fx *Effects) {
 	if it.Deleted || it.Config == nil {
 		return
 	}
@@ -358,7 +367,8 @@
 	f.view.ConfigRevision = it.Revision
 	f.viewChanged = true
 	fx.Records = append(fx.Records, decision.New("config_in_force",
-		decision.Uint("version", it.Config.Version), decision.Uint("revision", it.Revision), decision.Int("routes", len(it.Config.Routes))))
+		decision.Uint("version", it.Config.Version), decision.Uint("revision", it.Revision), decision.Int("routes", len(it.Config.Routes)),
+		decision.String("source", f.current), decision.Millis("contact_age", now.Mono-f.lastContactAt)))
 }
 
 func (f *Follower) applyTarget(now clock.Instant, it *Item) {
--- a/internal/core/discovery/source.go
+++ b/internal/core/discovery/source.go
@@ -48,7 +48,7 @@
 		f.nextCallAt = due
 		return
 	}
-	f.callInProgress = true
+	f.callInProgress, f.callStartedAt = true, now.Mono
 	if source != f.current || !f.sourceSelected {
 		f.sourceVerified = false
 		fx.Records = append(fx.Records, decision.New("source_chosen",
