--- /dev/null
+++ b/internal/core/discovery/silent_test.go
@@ -0,0 +1,90 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+)
+
+// applyBound is the tightest published bound on how long a host may handle requests by an older
+// version, stableWindow the time after a loss of all connections from which it holds again.
+const (
+	applyBound   = 4 * time.Second
+	stableWindow = 5 * time.Second
+)
+
+// newSettledCluster returns a cluster of an availability zone with four hosts and one with two, all
+// of which know the same revision.
+func newSettledCluster(seed uint64) (*cluster, []string) {
+	near, far := []string{"a", "b", "c", "d"}, []string{"far1", "far2"}
+	cl := newCluster()
+	for i, name := range append(near, far...) {
+		sources := append(append([]string{}, near...), far...)
+		if i >= len(near) {
+			sources = append(append([]string{}, far...), near[:2]...)
+		}
+		cl.start(name, seed+uint64(i)*1000, sources)
+	}
+	names := append(near, far...)
+	cl.advance(5*time.Second, names)
+	return cl, names
+}
+
+// expectVersion publishes a version and fails unless all hosts but the lost one have it by the time
+// until.
+func (cl *cluster) expectVersion(t *testing.T, seed uint64, names []string, lost string, until time.Duration) {
+	t.Helper()
+	for _, name := range names {
+		if name == lost {
+			continue
+		}
+		for cl.hosts[name].View().Config.Version != cl.revision {
+			if cl.now.Mono > until {
+				t.Fatalf("seed %d: %s has version %d at %v, want %d", seed, name, cl.hosts[name].View().Config.Version, cl.now.Mono, cl.revision)
+			}
+			cl.advance(clusterStep, names)
+		}
+	}
+}
+
+// TestChangeReachesFollowersOfSilentHost lets a host that others follow fall silent without a
+// reset, as after a loss of power, and publishes a version soon after. The disturbance of that host
+// does not excuse the others.
+func TestChangeReachesFollowersOfSilentHost(t *testing.T) {
+	for seed := range uint64(200) {
+		cl, names := newSettledCluster(seed)
+		cl.advance(time.Duration(seed)*41*time.Millisecond, names)
+		cl.revision++ // all hosts watch anew after it
+		cl.advance(time.Duration(seed%7)*137*time.Millisecond, names)
+		cl.silent["a"] = true
+		cl.advance(time.Duration(seed%5)*211*time.Millisecond, names)
+		cl.revision++
+		cl.expectVersion(t, seed, names, "a", cl.now.Mono+applyBound)
+	}
+}
+
+// TestChangeArrivesAfterConnectionsFellSilent makes all open connections silent at once, without a
+// reset, and publishes a version. New connections work.
+func TestChangeArrivesAfterConnectionsFellSilent(t *testing.T) {
+	for seed := range uint64(200) {
+		cl, names := newSettledCluster(seed)
+		cl.advance(time.Duration(seed)*41*time.Millisecond, names)
+		cl.silenceConnections()
+		begin := cl.now.Mono
+		cl.advance(time.Duration(seed%5)*211*time.Millisecond, names)
+		cl.revision++
+		cl.expectVersion(t, seed, names, "", max(cl.now.Mono+applyBound, begin+stableWindow))
+	}
+}
+
+// TestFollowersOfHostThatStoreIgnores lets the store ignore the calls of a host that others follow,
+// and publishes a version.
+func TestFollowersOfHostThatStoreIgnores(t *testing.T) {
+	for seed := range uint64(200) {
+		cl, names := newSettledCluster(seed)
+		cl.advance(time.Duration(seed)*41*time.Millisecond, names)
+		cl.rejected["a"] = true
+		cl.advance(time.Duration(seed%5)*211*time.Millisecond, names)
+		cl.revision++
+		cl.expectVersion(t, seed, names, "", cl.now.Mono+applyBound)
+	}
+}
