Watches end early enough for another source to bring a change in time

The hosts concerned were not disturbed themselves; the host that they follow was.

Cause: the waits of watches were constants chosen against 5 s, not derived from the bound on applying a change, and each edge added a margin of its own. A follower noticed after 4.5 s that its peer was silent, a host after 5 s (0.8 s between two watches, 3.5 s, 0.7 s) that the store ignored it, of 4 s allowed. Class: a time-out that is not part of a budget.

The core sets the whole time-out of a call, the edges only keep it.

Evidence: TestChangeReachesFollowersOfSilentHost, ...StoreIgnores and ...ConnectionsFellSilent failed before and hold.

TestWatchWaitIsBounded, which compared one constant with 5 s, is replaced by TestWatchesFitApplyBound, stricter: delay, wait and margin together, against several bounds. Two tests that compared a wait with the constant compare it with the regular wait.

--- a/internal/core/discovery/cluster_test.go
+++ b/internal/core/discovery/cluster_test.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// storeMargin and peerMargin are how long after the wait of a watch the edges give a call up.
-	storeMargin = 700 * time.Millisecond
-	peerMargin  = time.Second
 	// linkProbeTimeout is how long after a call that timed out a silent link is replaced.
 	linkProbeTimeout = 3 * time.Second
 	// clusterStep is the resolution of the virtual time.
@@ -46,7 +43,7 @@
 
 // start starts a host with its sources in order of preference.
 func (cl *cluster) start(name string, seed uint64, sources []string) {
-	cl.hosts[name] = New(name, false, seed)
+	cl.hosts[name] = New(Config{Self: name, Seed: seed})
 	cl.step(name, &Start{})
 	cl.hosts[name].Step(cl.now, &Sources{Hosts: sources}, &Effects{})
 }
@@ -80,12 +77,8 @@
 func (cl *cluster) completeCall(host string) {
 	c := cl.pending[host]
 	elapsed := cl.now.Mono - cl.callStart[host]
-	margin := peerMargin
-	if c.Peer == storeSource {
-		margin = storeMargin
-	}
 	if cl.doomed[host] || cl.silent[c.Peer] || c.Peer == storeSource && cl.rejected[host] {
-		if elapsed >= c.Wait+margin {
+		if elapsed >= c.Timeout {
 			cl.replaceLink(host, c.Peer)
 			cl.step(host, &CallFailed{Reason: "silent"})
 		}
--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -18,20 +18,32 @@
 )
 
 const (
-	// maxWatchWait is the longest wait of one watch. If the store has lost the watch, or
-	// the connection was lost without notice, the host detects this only when the call
-	// times out. The wait and the time-out of the call must add up to less than 5 s, the
-	// tightest bound on how long a host may miss a change.
+	// maxWatchWait and minWatchWait bound the wait of a watch of the store, which follows from
+	// Config.ApplyBound. If the store has lost the watch, or the connection was lost without
+	// notice, the host detects this only when the call times out.
 	maxWatchWait = 3500 * time.Millisecond
+	minWatchWait = 500 * time.Millisecond
+	// defaultApplyBound is the Config.ApplyBound of a host without one.
+	defaultApplyBound = 4 * time.Second
+	// failoverTime is the part of Config.ApplyBound that is left to get a change from another
+	// source: two calls that time out and some that are answered.
+	failoverTime = time.Second
+	// peerWatchWait is the wait of a watch of a peer. Such a watch costs the store no call, and
+	// a peer that falls silent must be noticed long before Config.ApplyBound is over.
+	peerWatchWait = time.Second
+	// storeReplyMargin and peerReplyMargin are how long after its wait a call may take. Store
+	// and peers reply within milliseconds. firstReplyMargin is the margin of the first call to
+	// a peer, whose reply holds the whole catalog.
+	storeReplyMargin = 700 * time.Millisecond
+	peerReplyMargin  = 700 * time.Millisecond
+	firstReplyMargin = 1500 * time.Millisecond
 	// coalesceDelay is the delay between a change and the next watch, so that a burst of
 	// changes costs few calls. The list after HistoryGone is delayed by as much. It is far
 	// below any bound on applying a change.
 	coalesceDelay = 200 * time.Millisecond
 	// maxCoalesceDelay bounds the delay before the next watch of the store, which doubles with
 	// each reply that has changes and starts again after one without. Releases, and leafs that
-	// register after a loss of power, change the store many times a second for a while. The
-	// delay and those of two peers that follow this host add up to less than half of the
-	// tightest bound on applying a change.
+	// register after a loss of power, change the store many times a second for a while.
 	maxCoalesceDelay = 800 * time.Millisecond
 	// minBackoff and maxBackoff bound the delay after a failed call, which doubles with
 	// each consecutive failure; failed calls are charged too. A host whose calls the store
@@ -85,8 +97,7 @@
 
 // Follower tracks the catalog in the platform's store, directly or through a peer.
 type Follower struct {
-	self         string
-	waitForPeers bool
+	cfg Config
 	// sources are in order of preference. A source is not called before its
 	// unavailableUntil.
 	sources          []string
@@ -130,17 +141,30 @@
 	removed   []string
 }
 
-// New returns a Follower for the host self with an empty view. The seed randomizes the
-// retry delays across hosts. With waitForPeers the first call is delayed by
-// peerDiscoveryDelay, so that a host without waiting callers can use a peer and save the
-// store a call.
-func New(self string, waitForPeers bool, seed uint64) *Follower {
+// Config holds the settings of a Follower.
+type Config struct {
+	// Self is the name of this host.
+	Self string
+	// WaitForPeers delays the first call by peerDiscoveryDelay, so that a host without waiting
+	// callers can use a peer and save the store a call.
+	WaitForPeers bool
+	// ApplyBound is the longest time from a change in the store until this host applies it,
+	// whichever of its sources fails meanwhile; 0 means defaultApplyBound.
+	ApplyBound time.Duration
+	// Seed randomizes the retry delays across hosts.
+	Seed uint64
+}
+
+// New returns a Follower with an empty view.
+func New(cfg Config) *Follower {
+	if cfg.ApplyBound <= 0 {
+		cfg.ApplyBound = defaultApplyBound
+	}
 	return &Follower{
-		self:             self,
-		waitForPeers:     waitForPeers,
+		cfg:              cfg,
 		sources:          []string{storeSource},
 		unavailableUntil: map[string]time.Duration{},
-		rng:              rand.New(rand.NewPCG(seed, 1)),
+		rng:              rand.New(rand.NewPCG(cfg.Seed, 1)),
 		view:             catalog.NewView(),
 		items:            map[string]Item{},
 		removals:         map[string]time.Duration{},
@@ -155,7 +179,7 @@
 	switch ev := ev.(type) {
 	case *Start:
 		f.beginList(now)
-		if f.waitForPeers {
+		if f.cfg.WaitForPeers {
 			f.nextCallAt = now.Mono + peerDiscoveryDelay
 		}
 	case *Sources:
--- a/internal/core/discovery/discovery_test.go
+++ b/internal/core/discovery/discovery_test.go
@@ -17,7 +17,7 @@
 }
 
 func newHarness(t *testing.T) *harness {
-	h := &harness{t: t, f: New("self", true, 1)}
+	h := &harness{t: t, f: New(Config{Self: "self", WaitForPeers: true, Seed: 1})}
 	h.step(&Start{})
 	h.advance(peerDiscoveryDelay)
 	return h
@@ -79,13 +79,19 @@
 	}
 }
 
-// TestWatchWaitIsBounded checks that a watch that the store never answers cannot hide a
-// change for longer than the bound.
-func TestWatchWaitIsBounded(t *testing.T) {
-	const bound = 5 * time.Second
-	h := newListedHarness(t)
-	if wait := h.fx.Call.Wait; wait >= bound {
-		t.Errorf("a watch waits %v, want less than %v", wait, bound)
+// TestWatchesFitApplyBound checks for several bounds that a watch that the store never answers,
+// begun after the longest delay, leaves failoverTime of the bound.
+func TestWatchesFitApplyBound(t *testing.T) {
+	for _, bound := range []time.Duration{0, 3 * time.Second, 4 * time.Second, 5 * time.Second, 6 * time.Second, time.Minute} {
+		h := &harness{t: t, f: New(Config{Self: "self", ApplyBound: bound, Seed: 1})}
+		h.step(&Start{})
+		h.step(&Page{Items: []Item{configItem(3, 7), targetItem(5, "a")}, Revision: 10})
+		if bound == 0 {
+			bound = applyBound
+		}
+		if noticed := maxCoalesceDelay + h.fx.Call.Timeout; h.fx.Call.Wait <= 0 || noticed > bound-failoverTime {
+			t.Errorf("bound %v: a watch waits %v, and its loss is noticed after %v, want at most %v", bound, h.fx.Call.Wait, noticed, bound-failoverTime)
+		}
 	}
 }
 
@@ -182,7 +188,7 @@
 // TestFollowsPeerAndFallsBackToStore checks that the preferred peer is watched, that a
 // failure switches to the store, and that the peer is tried again after peerRetryDelay.
 func TestFollowsPeerAndFallsBackToStore(t *testing.T) {
-	h := &harness{t: t, f: New("self", true, 1)}
+	h := &harness{t: t, f: New(Config{Self: "self", WaitForPeers: true, Seed: 1})}
 	h.step(&Start{})
 	h.step(&Sources{Hosts: []string{"peer", "self"}})
 	h.advance(coalesceDelay)
@@ -208,7 +214,7 @@
 // TestStalePeerIsReplaced checks that data of a peer without contact with the store is
 // applied, and that another source is called next.
 func TestStalePeerIsReplaced(t *testing.T) {
-	h := &harness{t: t, f: New("self", true, 1)}
+	h := &harness{t: t, f: New(Config{Self: "self", WaitForPeers: true, Seed: 1})}
 	h.step(&Start{})
 	h.step(&Sources{Hosts: []string{"peer", "self"}})
 	h.advance(coalesceDelay)
@@ -229,8 +235,9 @@
 // so that the store's recovery is noticed soon.
 func TestStoreIsPolledWithoutWaitAfterFailure(t *testing.T) {
 	h := newListedHarness(t)
-	if h.fx.Call.Wait != maxWatchWait {
-		t.Fatalf("watch of an available store waits %v, want %v", h.fx.Call.Wait, maxWatchWait)
+	want := h.fx.Call.Wait
+	if want < minWatchWait {
+		t.Fatalf("watch of an available store waits %v, want at least %v", want, minWatchWait)
 	}
 	h.step(&CallFailed{Reason: "silent"})
 	h.advance(2 * maxBackoff)
@@ -238,7 +245,7 @@
 		t.Fatalf("call after a failure is %+v, want one that does not wait", c)
 	}
 	h.step(&Changes{Revision: 10})
-	if c := h.fx.Call; c == nil || c.Wait != maxWatchWait {
+	if c := h.fx.Call; c == nil || c.Wait != want {
 		t.Errorf("call after the recovery is %+v, want a watch", c)
 	}
 }
@@ -246,7 +253,7 @@
 // TestFollowerOfStalePeerPollsStore checks that a host whose peer has lost contact with
 // the store calls the store with a short wait, and the peer again soon.
 func TestFollowerOfStalePeerPollsStore(t *testing.T) {
-	h := &harness{t: t, f: New("self", true, 1)}
+	h := &harness{t: t, f: New(Config{Self: "self", WaitForPeers: true, Seed: 1})}
 	h.step(&Start{})
 	h.step(&Sources{Hosts: []string{"peer", "self"}})
 	h.advance(coalesceDelay)
@@ -264,7 +271,7 @@
 
 // TestStartWithoutPeerDelayCallsStoreAtOnce starts a host that has waiting callers.
 func TestStartWithoutPeerDelayCallsStoreAtOnce(t *testing.T) {
-	h := &harness{t: t, f: New("self", false, 1)}
+	h := &harness{t: t, f: New(Config{Self: "self", Seed: 1})}
 	h.step(&Start{})
 	if h.fx.Call == nil || h.fx.Call.Peer != storeSource {
 		t.Errorf("call is %+v, want the store", h.fx.Call)
@@ -280,7 +287,7 @@
 		bound       = 5*time.Second - stalePeerRetryDelay - coalesceDelay
 	)
 	for seed := range uint64(50) {
-		h := &harness{t: t, f: New("self", false, seed)}
+		h := &harness{t: t, f: New(Config{Self: "self", Seed: seed})}
 		h.step(&Start{})
 		h.step(&Page{Items: []Item{configItem(3, 7), targetItem(5, "a")}, Revision: 10})
 		recovery := 9*time.Second + time.Duration(seed)*37*time.Millisecond
@@ -308,7 +315,7 @@
 // path is too long, does not count as contact with the store.
 func TestPeerLoopIsRejected(t *testing.T) {
 	for _, path := range [][]string{{"peer", "self"}, {"peer", "other", "self"}, {"a", "b", "c", "d"}} {
-		h := &harness{t: t, f: New("self", true, 1)}
+		h := &harness{t: t, f: New(Config{Self: "self", WaitForPeers: true, Seed: 1})}
 		h.step(&Start{})
 		h.step(&Sources{Hosts: []string{"peer", "self"}})
 		h.advance(coalesceDelay)
@@ -321,7 +328,7 @@
 			t.Errorf("after path %v the call is %+v, want the store", path, c)
 		}
 	}
-	h := &harness{t: t, f: New("self", true, 1)}
+	h := &harness{t: t, f: New(Config{Self: "self", WaitForPeers: true, Seed: 1})}
 	h.step(&Start{})
 	h.step(&Sources{Hosts: []string{"peer", "self"}})
 	h.advance(coalesceDelay)
@@ -334,7 +341,7 @@
 // TestFirstCallToPeerDoesNotWait checks that a peer is watched without a wait until its
 // reply has shown its path.
 func TestFirstCallToPeerDoesNotWait(t *testing.T) {
-	h := &harness{t: t, f: New("self", true, 1)}
+	h := &harness{t: t, f: New(Config{Self: "self", WaitForPeers: true, Seed: 1})}
 	h.step(&Start{})
 	h.step(&Sources{Hosts: []string{"peer", "self"}})
 	h.advance(coalesceDelay)
@@ -342,7 +349,7 @@
 		t.Fatalf("first call is %+v, want one that does not wait", c)
 	}
 	h.step(&Changes{Revision: 10, Path: []string{"peer"}})
-	if c := h.fx.Call; c == nil || c.Peer != "peer" || c.Wait != maxWatchWait {
+	if c := h.fx.Call; c == nil || c.Peer != "peer" || c.Wait != peerWatchWait {
 		t.Errorf("second call is %+v, want a watch", c)
 	}
 }
@@ -443,7 +450,7 @@
 // without contact with the store knows only once the store has failed too.
 func TestOutdatedViewOfPeerIsPublishedWithoutStore(t *testing.T) {
 	start := func() *harness {
-		h := &harness{t: t, f: New("self", true, 1)}
+		h := &harness{t: t, f: New(Config{Self: "self", WaitForPeers: true, Seed: 1})}
 		h.step(&Start{})
 		h.step(&Sources{Hosts: []string{"peer", "self"}})
 		h.advance(coalesceDelay)
--- a/internal/core/discovery/event.go
+++ b/internal/core/discovery/event.go
@@ -88,6 +88,8 @@
 	// or none once Wait is over.
 	AfterRevision uint64
 	Wait          time.Duration
+	// Timeout is the time after which the call counts as failed.
+	Timeout time.Duration
 }
 
 // Effects holds the actions that a step asks its caller to carry out.
--- a/internal/core/discovery/silent_test.go
+++ b/internal/core/discovery/silent_test.go
@@ -15,7 +15,12 @@
 // newSettledCluster returns a cluster of an availability zone with four hosts and one with two, all
 // of which know the same revision.
 func newSettledCluster(seed uint64) (*cluster, []string) {
-	near, far := []string{"a", "b", "c", "d"}, []string{"far1", "far2"}
+	return newSettledClusterOf(seed, "a", "b", "c", "d")
+}
+
+// newSettledClusterOf is newSettledCluster with the given hosts in the larger availability zone.
+func newSettledClusterOf(seed uint64, near ...string) (*cluster, []string) {
+	far := []string{"far1", "far2"}
 	cl := newCluster()
 	for i, name := range append(near, far...) {
 		sources := append(append([]string{}, near...), far...)
@@ -29,12 +34,12 @@
 	return cl, names
 }
 
-// expectVersion publishes a version and fails unless all hosts but the lost one have it by the time
+// expectVersion fails unless all hosts that are not silent have the newest version by the time
 // until.
-func (cl *cluster) expectVersion(t *testing.T, seed uint64, names []string, lost string, until time.Duration) {
+func (cl *cluster) expectVersion(t *testing.T, seed uint64, names []string, until time.Duration) {
 	t.Helper()
 	for _, name := range names {
-		if name == lost {
+		if cl.silent[name] {
 			continue
 		}
 		for cl.hosts[name].View().Config.Version != cl.revision {
@@ -58,7 +63,7 @@
 		cl.silent["a"] = true
 		cl.advance(time.Duration(seed%5)*211*time.Millisecond, names)
 		cl.revision++
-		cl.expectVersion(t, seed, names, "a", cl.now.Mono+applyBound)
+		cl.expectVersion(t, seed, names, cl.now.Mono+applyBound)
 	}
 }
 
@@ -72,7 +77,7 @@
 		begin := cl.now.Mono
 		cl.advance(time.Duration(seed%5)*211*time.Millisecond, names)
 		cl.revision++
-		cl.expectVersion(t, seed, names, "", max(cl.now.Mono+applyBound, begin+stableWindow))
+		cl.expectVersion(t, seed, names, max(cl.now.Mono+applyBound, begin+stableWindow))
 	}
 }
 
@@ -85,6 +90,6 @@
 		cl.rejected["a"] = true
 		cl.advance(time.Duration(seed%5)*211*time.Millisecond, names)
 		cl.revision++
-		cl.expectVersion(t, seed, names, "", cl.now.Mono+applyBound)
+		cl.expectVersion(t, seed, names, cl.now.Mono+applyBound)
 	}
 }
--- a/internal/core/discovery/source.go
+++ b/internal/core/discovery/source.go
@@ -12,7 +12,7 @@
 func (f *Follower) setSources(now clock.Instant, ev *Sources) {
 	f.sources = f.sources[:0]
 	for _, host := range ev.Hosts {
-		if host == f.self {
+		if host == f.cfg.Self {
 			host = storeSource
 		}
 		f.sources = append(f.sources, host)
@@ -57,10 +57,11 @@
 	}
 	f.current, f.sourceSelected = source, true
 	if source == storeSource && f.phase == listing {
-		fx.Call = &Call{AfterKey: f.afterKey}
+		fx.Call = &Call{AfterKey: f.afterKey, Timeout: storeReplyMargin}
 		return
 	}
-	fx.Call = &Call{Peer: source, Watch: true, AfterRevision: f.view.Revision, Wait: f.watchWait()}
+	wait := f.watchWait()
+	fx.Call = &Call{Peer: source, Watch: true, AfterRevision: f.view.Revision, Wait: wait, Timeout: wait + f.replyMargin()}
 }
 
 // watchWait returns how long the next watch may wait. After a failed call the store is
@@ -72,17 +73,30 @@
 	switch {
 	case f.current == storeSource && f.storeFailures > 0, f.current != storeSource && !f.sourceVerified:
 		return 0
-	case f.current == storeSource && f.sources[0] != storeSource:
+	case f.current != storeSource:
+		return peerWatchWait
+	case f.sources[0] != storeSource:
 		return fallbackWatchWait
 	}
-	return maxWatchWait
+	return min(max(f.cfg.ApplyBound-maxCoalesceDelay-storeReplyMargin-failoverTime, minWatchWait), maxWatchWait)
+}
+
+// replyMargin returns how long after its wait the next watch may take.
+func (f *Follower) replyMargin() time.Duration {
+	switch {
+	case f.current == storeSource:
+		return storeReplyMargin
+	case f.view.Revision == 0:
+		return firstReplyMargin
+	}
+	return peerReplyMargin
 }
 
 // formsLoop reports whether a peer with this path follows this host, or has a path so long
 // that it may be about to. Two hosts that follow each other would both appear to be in
 // contact with the store.
 func (f *Follower) formsLoop(path []string) bool {
-	return len(path) > maxPathHosts || slices.Contains(path, f.self)
+	return len(path) > maxPathHosts || slices.Contains(path, f.cfg.Self)
 }
 
 // handlePeerReply updates the state of the current source from a peer's reply. A peer sends
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
@@ -53,7 +52,7 @@
 func newDiscoveryDuty(s *Settings, store Store, clk sysclock.Clock, seed uint64, log zerolog.Logger) *discoveryDuty {
 	d := &discoveryDuty{
 		clock:    clk,
-		follower: discovery.New(s.Host, s.FirstStart, seed),
+		follower: discovery.New(discovery.Config{Self: s.Host, WaitForPeers: s.FirstStart, ApplyBound: s.ApplyBound, Seed: seed}),
 		inbox:    ring.New[discovery.Event]("discovery", discoveryCapacity),
 		calls:    ring.New[*discovery.Call]("store", 1),
 		store:    store,
@@ -105,17 +104,13 @@
 	}
 }
 
-// peerReplyMargin is the time that a call to a peer may take in addition to the wait that it
-// asks for.
-const peerReplyMargin = time.Second
-
 // call makes one call to the store or to a peer and returns its result.
 func (d *discoveryDuty) call(call *discovery.Call) discovery.Event {
 	if call.Peer == "" {
 		return d.store.Do(call)
 	}
 	request := marshal(&wire.CatalogRequest{After: call.AfterRevision, WaitMs: call.Wait.Milliseconds()})
-	payload, err := d.mesh.Call(call.Peer, wire.CallKind_CALL_KIND_CATALOG, request, call.Wait+peerReplyMargin)
+	payload, err := d.mesh.Call(call.Peer, wire.CallKind_CALL_KIND_CATALOG, request, call.Timeout)
 	reply := &wire.CatalogReply{}
 	if err == nil {
 		err = proto.Unmarshal(payload, reply)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -19,6 +19,9 @@
 	// Seeds are mesh addresses of other hosts to contact first; some may be out of date.
 	Seeds []string
 	Retry relay.RetryPolicy
+	// ApplyBound is the longest time in which a published change must be in force, 0 for the
+	// default.
+	ApplyBound time.Duration
 	// Grace is the time between the stop signal and the forced end of the process.
 	Grace time.Duration
 	// MinDrain is the minimum time for which a stopping host still accepts requests. It is part
