After a silent peer a host asks the store, not the next peer

Cause: the next source after a lost peer was the next peer in order, each with a time-out of its own, and after one failed call a follower left the store alone for 4 s, since the peers that call it would report its return. Both assume that losses are independent. A zone without power, or connections that fall silent together, take many sources at once. Class: time-outs that add up over correlated failures.

Change: after a peer did not reply the store is called first, without a wait and with its usual backoff, until some source is up to date.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -66,8 +66,8 @@
 	// source is a peer. The peer is tried again after each such watch.
 	fallbackWatchWait = time.Second
 	// fallbackStoreRetryDelay is the least time between a failed call to the store and the
-	// next on a host whose preferred source is a peer. The peers that call the store
-	// report its recovery.
+	// next on a host whose preferred source is a peer that answers. The peers that call the
+	// store report its recovery.
 	fallbackStoreRetryDelay = 4 * time.Second
 	// maxPathHosts is the largest number of hosts through which a host may get its data: a
 	// host of its zone, which follows a host of another zone, which follows the host that
@@ -107,9 +107,12 @@
 	// current has answered a watch with up-to-date data.
 	sourceSelected bool
 	sourceVerified bool
-	rng            *rand.Rand
-	view           *catalog.View
-	phase          phase
+	// peerLost is set while a peer has not replied and no other source has been up to date
+	// since. The store is then called first.
+	peerLost bool
+	rng      *rand.Rand
+	view     *catalog.View
+	phase    phase
 	// items holds the newest item of each key, including deleted items.
 	items map[string]Item
 	// removals maps targets whose entries were deleted to the time they leave the view.
@@ -234,6 +237,7 @@
 	f.nextCallAt = now.Mono
 	fx.Progress = &Progress{Revision: f.view.Revision}
 	if f.current != storeSource {
+		f.peerLost = true
 		f.unavailableUntil[f.current] = now.Mono + peerRetryDelay
 		fx.Records = append(fx.Records, decision.Warning("source_lost",
 			decision.String("peer", f.current), decision.String("reason", ev.Reason), decision.Uint("revision", f.view.Revision),
@@ -250,7 +254,7 @@
 	delay := minBackoff << min(f.storeFailures-1, 8)
 	delay = min(delay, maxBackoff)
 	delay = delay/2 + time.Duration(f.rng.Int64N(int64(delay)))
-	if f.sources[0] != storeSource && f.view.Config != nil {
+	if f.sources[0] != storeSource && f.view.Config != nil && !f.peerLost {
 		delay = max(delay, fallbackStoreRetryDelay)
 	}
 	f.unavailableUntil[storeSource] = now.Mono + delay
@@ -266,6 +270,7 @@
 			decision.Int("failed_calls", f.storeFailures), decision.Uint("revision", f.view.Revision)))
 	}
 	f.storeFailures = 0
+	f.peerLost = false
 }
 
 // handlePage applies a page of the list. The pages are not one snapshot, so the watch
@@ -339,6 +344,7 @@
 		f.completeWithoutStore()
 	} else {
 		f.lastContactAt = now.Mono
+		f.peerLost = false
 	}
 	f.nextCallAt = now.Mono
 	f.nextCallAt += f.coalesce(len(ev.Items) > 0)
--- a/internal/core/discovery/silent_test.go
+++ b/internal/core/discovery/silent_test.go
@@ -67,6 +67,21 @@
 	}
 }
 
+// TestChangeReachesHostBesideManySilentPeers lets most of an availability zone fall silent at once:
+// the time-outs of the peers that a host would try one after another must not add up.
+func TestChangeReachesHostBesideManySilentPeers(t *testing.T) {
+	for seed := range uint64(100) {
+		cl, names := newSettledClusterOf(seed, "a", "b", "c", "d", "e", "f", "g", "h", "i", "j")
+		cl.advance(time.Duration(seed)*41*time.Millisecond, names)
+		for _, name := range names[:8] {
+			cl.silent[name] = true
+		}
+		cl.advance(time.Duration(seed%5)*211*time.Millisecond, names)
+		cl.revision++
+		cl.expectVersion(t, seed, names, cl.now.Mono+applyBound)
+	}
+}
+
 // TestChangeArrivesAfterConnectionsFellSilent makes all open connections silent at once, without a
 // reset, and publishes a version. New connections work.
 func TestChangeArrivesAfterConnectionsFellSilent(t *testing.T) {
--- a/internal/core/discovery/source.go
+++ b/internal/core/discovery/source.go
@@ -25,10 +25,17 @@
 	}
 }
 
-// selectSource returns the most preferred source that may be called now. If there is none,
-// ok is false and due is when the first becomes available.
+// selectSource returns the source to call now: the most preferred one that is available, or the
+// store after a peer was lost, since other peers may be lost for the same reason and each would
+// take its time-out. If there is none, ok is false and due is when the first becomes available.
 func (f *Follower) selectSource(now clock.Instant) (source string, due time.Duration, ok bool) {
+	if f.peerLost && f.unavailableUntil[storeSource] <= now.Mono {
+		return storeSource, 0, true
+	}
 	due = f.unavailableUntil[f.sources[0]]
+	if f.peerLost {
+		due = min(due, f.unavailableUntil[storeSource])
+	}
 	for _, s := range f.sources {
 		until := f.unavailableUntil[s]
 		if until <= now.Mono {
@@ -71,7 +78,7 @@
 // update.
 func (f *Follower) watchWait() time.Duration {
 	switch {
-	case f.current == storeSource && f.storeFailures > 0, f.current != storeSource && !f.sourceVerified:
+	case f.current == storeSource && (f.storeFailures > 0 || f.peerLost), f.current != storeSource && !f.sourceVerified:
 		return 0
 	case f.current != storeSource:
 		return peerWatchWait
