Requests under which targets crash are held back on all hosts

Cause: the gateway took a crash for a reset. It repeated the shard at the other replica at once, forgot the request when it ended, and told nobody. Class: a failure that follows the input was handled as one of the target.

Change: a target that loses a connection is checked whether it still listens (a connection that is used for the repeat, or a refusal within the round-trip time). Crashes are counted by the fingerprint of method, host, request target and body, until some target answers the request, which refutes them: a query beside a crashing one is not held back for long. After two crashes a request is not repeated; the next with its fingerprint tries one shard until that answers. A crash then convicts the fingerprint for ten minutes: 110, on the platform 503, has not run. Hosts tell all peers at once, 16 in a larger fleet, which pass it on, and one peer a second everything, for those that missed it or started since. Facts only grow, so that any order of messages ends in the same state.

--- a/internal/core/decision/decision.go
+++ b/internal/core/decision/decision.go
@@ -44,6 +44,9 @@
 // Int returns an attribute with an integer value.
 func Int(key string, value int) Attr { return Attr{Key: key, Value: value} }
 
+// Bool returns an attribute with a boolean value.
+func Bool(key string, value bool) Attr { return Attr{Key: key, Value: value} }
+
 // Millis returns an attribute with a duration in milliseconds; it appends "_ms" to the key.
 func Millis(key string, d time.Duration) Attr {
 	return Attr{Key: key + "_ms", Value: float64(d.Microseconds()) / 1000}
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -1,4 +1,6 @@
-// Package quarantine decides whether a request body may run. A body that has not
+// Package quarantine decides whether a request may run that may crash targets, by its fingerprint.
+//
+// A Registry serves front ends that try each body before it runs everywhere. A body that has not
 // recently run without a crash needs a lease, and a body that crashed targets is blocked
 // for a time.
 //
@@ -7,11 +9,15 @@
 // does a lease that expires without a report. The second death convicts the fingerprint,
 // so it kills at most deathsToConvict targets for each home that is asked.
 //
+// A Suspects serves front ends that let each request run at once, and hold back those under which
+// targets crashed.
+//
 // A Registry is owned by one goroutine and has no lock.
 package quarantine
 
 import (
 	"encoding/binary"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +28,9 @@
 // Fingerprint identifies a body within its service.
 type Fingerprint uint64
 
+// String returns the fingerprint as it appears in logs.
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
+
 // FingerprintOf returns the fingerprint of a body.
 func FingerprintOf(service string, body []byte) Fingerprint {
 	var d xxhash.Digest
--- /dev/null
+++ b/internal/core/quarantine/suspects.go
@@ -0,0 +1,234 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// CrashesToSuspect is the number of targets that must have crashed under requests with one
+	// fingerprint, none of which was answered, for the next one to run alone.
+	CrashesToSuspect = 2
+	// CrashesToConvict is the number of crashes after which a crash under a request that ran
+	// alone convicts its fingerprint.
+	CrashesToConvict = 3
+	// maxCrashes bounds the crashes that are kept of a fingerprint, and those that do not count.
+	maxCrashes = 16
+)
+
+// CrashID identifies one crash that one host saw.
+type CrashID uint64
+
+// CrashFact is what hosts tell each other about a fingerprint. Facts only grow, so that they can be
+// merged in any order, repeatedly.
+type CrashFact struct {
+	Fingerprint Fingerprint
+	// Crashes are the crashes of targets while they ran a request with the fingerprint. Refuted
+	// are those that do not count, because a target has answered such a request since.
+	Crashes []CrashID
+	Refuted []CrashID
+	// Convicted states that requests with the fingerprint must not run.
+	Convicted bool
+	// Age is the time since a host last saw something new.
+	Age time.Duration
+}
+
+// SuspectsConfig bounds a Suspects.
+type SuspectsConfig struct {
+	MaxEntries int
+	// SuspectFor is how long crashes count, ConvictFor how long a conviction lasts, each since
+	// the last crash.
+	SuspectFor time.Duration
+	ConvictFor time.Duration
+}
+
+// Suspects holds the fingerprints under which targets crashed, as this host and others saw it.
+// Unlike a Registry it asks no home for permission: any host may send a suspect request, to one
+// target at first, and tells the others what comes of it.
+//
+// It is owned by one thread and has no lock.
+type Suspects struct {
+	cfg     SuspectsConfig
+	entries map[Fingerprint]*suspect
+}
+
+type suspect struct {
+	crashes   []CrashID
+	refuted   []CrashID
+	convicted bool
+	changedAt time.Duration
+}
+
+// NewSuspects returns an empty Suspects.
+func NewSuspects(cfg SuspectsConfig) *Suspects {
+	return &Suspects{cfg: cfg, entries: map[Fingerprint]*suspect{}}
+}
+
+// Len returns the number of fingerprints.
+func (s *Suspects) Len() int { return len(s.entries) }
+
+// counted returns the number of crashes that count.
+func (e *suspect) counted() int {
+	n := 0
+	for _, c := range e.crashes {
+		if !slices.Contains(e.refuted, c) {
+			n++
+		}
+	}
+	return n
+}
+
+// Crashes returns the number of crashes that count against the fingerprint.
+func (s *Suspects) Crashes(now time.Duration, f Fingerprint) int {
+	if e := s.lookup(now, f); e != nil {
+		return e.counted()
+	}
+	return 0
+}
+
+// Convicted reports whether requests with the fingerprint must not run, and for how much longer.
+func (s *Suspects) Convicted(now time.Duration, f Fingerprint) (remaining time.Duration, convicted bool) {
+	e := s.lookup(now, f)
+	if e == nil || !e.convicted {
+		return 0, false
+	}
+	return s.expiry(e) - now, true
+}
+
+// RecordCrash records that a target crashed while it ran a request with the fingerprint. alone
+// states that the request was suspect and ran nowhere else. It reports whether this is news.
+func (s *Suspects) RecordCrash(now time.Duration, f Fingerprint, crash CrashID, alone bool) bool {
+	e := s.lookupOrCreate(now, f)
+	convicted := e.convicted
+	added := addCrash(&e.crashes, crash)
+	e.convicted = e.convicted || alone && e.counted() >= CrashesToConvict
+	if !added && e.convicted == convicted {
+		return false
+	}
+	e.changedAt = now
+	return true
+}
+
+// RecordAnswer records that a target answered a request with the fingerprint: the crashes so far
+// have another cause. It reports whether this is news.
+func (s *Suspects) RecordAnswer(now time.Duration, f Fingerprint) bool {
+	e := s.lookup(now, f)
+	if e == nil || e.convicted || e.counted() == 0 {
+		return false
+	}
+	for _, c := range e.crashes {
+		addCrash(&e.refuted, c)
+	}
+	e.crashes = nil
+	e.changedAt = now
+	return true
+}
+
+// Merge adds what another host knows. It reports whether this is news.
+func (s *Suspects) Merge(now time.Duration, fact *CrashFact) bool {
+	retention := s.cfg.SuspectFor
+	if fact.Convicted {
+		retention = s.cfg.ConvictFor
+	}
+	if fact.Age < 0 || fact.Age >= retention {
+		return false
+	}
+	e := s.lookupOrCreate(now, fact.Fingerprint)
+	news := false
+	for _, c := range fact.Refuted {
+		news = addCrash(&e.refuted, c) || news
+	}
+	for _, c := range fact.Crashes {
+		if !slices.Contains(e.refuted, c) {
+			news = addCrash(&e.crashes, c) || news
+		}
+	}
+	if fact.Convicted && !e.convicted {
+		e.convicted, news = true, true
+	}
+	if news {
+		e.changedAt = max(e.changedAt, now-fact.Age)
+	}
+	return news
+}
+
+// Fact returns what this host knows about a fingerprint, and false if that is nothing.
+func (s *Suspects) Fact(now time.Duration, f Fingerprint) (CrashFact, bool) {
+	e := s.lookup(now, f)
+	if e == nil {
+		return CrashFact{}, false
+	}
+	return CrashFact{
+		Fingerprint: f, Crashes: slices.Clone(e.crashes), Refuted: slices.Clone(e.refuted),
+		Convicted: e.convicted, Age: now - e.changedAt,
+	}, true
+}
+
+// Newest returns up to limit fingerprints, those that changed last first.
+func (s *Suspects) Newest(now time.Duration, limit int) []Fingerprint {
+	s.removeExpired(now)
+	list := slices.Sorted(maps.Keys(s.entries))
+	slices.SortStableFunc(list, func(a, b Fingerprint) int { return cmp.Compare(s.entries[b].changedAt, s.entries[a].changedAt) })
+	return list[:min(len(list), limit)]
+}
+
+func (s *Suspects) expiry(e *suspect) time.Duration {
+	if e.convicted {
+		return e.changedAt + s.cfg.ConvictFor
+	}
+	return e.changedAt + s.cfg.SuspectFor
+}
+
+func (s *Suspects) lookup(now time.Duration, f Fingerprint) *suspect {
+	e := s.entries[f]
+	if e != nil && now >= s.expiry(e) {
+		delete(s.entries, f)
+		return nil
+	}
+	return e
+}
+
+// lookupOrCreate returns the entry of f. A full Suspects first forgets the entry that changed
+// longest ago, one without a conviction if there is any.
+func (s *Suspects) lookupOrCreate(now time.Duration, f Fingerprint) *suspect {
+	if e := s.lookup(now, f); e != nil {
+		return e
+	}
+	if len(s.entries) >= s.cfg.MaxEntries {
+		s.removeExpired(now)
+	}
+	if len(s.entries) >= s.cfg.MaxEntries {
+		s.evict()
+	}
+	e := &suspect{changedAt: now}
+	s.entries[f] = e
+	return e
+}
+
+func (s *Suspects) removeExpired(now time.Duration) {
+	maps.DeleteFunc(s.entries, func(_ Fingerprint, e *suspect) bool { return now >= s.expiry(e) })
+}
+
+func (s *Suspects) evict() {
+	var victim Fingerprint
+	var oldest *suspect
+	for f, e := range s.entries {
+		older := oldest == nil || !e.convicted && oldest.convicted ||
+			e.convicted == oldest.convicted && (e.changedAt < oldest.changedAt || e.changedAt == oldest.changedAt && f < victim)
+		if older {
+			victim, oldest = f, e
+		}
+	}
+	delete(s.entries, victim)
+}
+
+// addCrash adds a crash to a list of at most maxCrashes and reports whether it did.
+func addCrash(list *[]CrashID, id CrashID) bool {
+	if len(*list) >= maxCrashes || slices.Contains(*list, id) {
+		return false
+	}
+	*list = append(*list, id)
+	return true
+}
--- a/internal/core/relay/cluster_test.go
+++ b/internal/core/relay/cluster_test.go
@@ -220,6 +220,9 @@
 			return &HandoffEnded{ID: x.ID, Answer: a, PeerElapsed: spent}
 		})
 	}
+	for _, x := range h.fx.Checks {
+		c.at(c.now.Mono+time.Millisecond, func() { h.process(timerCost, &TargetChecked{ID: x.ID}) })
+	}
 	for _, a := range h.fx.Answers {
 		if in, ok := h.inbound[a.Key]; ok {
 			delete(h.inbound, a.Key)
--- /dev/null
+++ b/internal/core/relay/crash.go
@@ -0,0 +1,339 @@
+package relay
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pollentack.example/pollentack/internal/core/catalog"
+	"pollentack.example/pollentack/internal/core/clock"
+	"pollentack.example/pollentack/internal/core/decision"
+	"pollentack.example/pollentack/internal/core/quarantine"
+	"pollentack.example/pollentack/internal/core/result"
+)
+
+// A request may crash each target that begins to run it, and its caller sends it again. A lost
+// connection alone does not show it: targets reset connections for other reasons. So a target that
+// loses a connection is checked whether it still listens. A request under which targets crash and
+// that none of them answers is suspect: it is not repeated, and the next request with its
+// fingerprint runs alone, at one target at a time, until one answers. A crash under such a request
+// convicts the fingerprint. Hosts tell each other what they see.
+
+const (
+	// maxSuspects bounds the fingerprints that are kept.
+	maxSuspects = 1024
+	// suspectFor is how long a crash counts, and convictFor how long a conviction lasts.
+	suspectFor = 2 * time.Minute
+	convictFor = 10 * time.Minute
+	// checkPatience is how long a request is not repeated because a target is being checked.
+	checkPatience = 150 * time.Millisecond
+	// tellDelay collects the news of a crash, which takes several requests at once, into one
+	// message.
+	tellDelay = 10 * time.Millisecond
+	// syncInterval is the interval at which what is known is told to one peer again, which may
+	// have missed it or started since.
+	syncInterval = time.Second
+	// maxDirectPeers is the number of peers that are told of news at once. In a larger fleet
+	// they pass it on.
+	maxDirectPeers = 16
+	// maxFactsPerMessage bounds the fingerprints in one message.
+	maxFactsPerMessage = 64
+)
+
+// CheckID identifies one check of a target.
+type CheckID uint64
+
+// Check asks whether a target still listens at its address.
+type Check struct {
+	ID     CheckID
+	Target *catalog.Target
+}
+
+// TargetChecked reports the result of a check.
+type TargetChecked struct {
+	ID CheckID
+	// Refused states that the target's host refused the connection, so that its process has
+	// ended. It is false if the target listens, and if there was no answer.
+	Refused bool
+}
+
+// Tell sends facts about crashes to a peer. A lost message is made up for by a later one.
+type Tell struct {
+	Peer  string
+	Facts []quarantine.CrashFact
+}
+
+// FactsReceived reports what a peer knows about crashes.
+type FactsReceived struct{ Facts []quarantine.CrashFact }
+
+func (*TargetChecked) event() {}
+func (*FactsReceived) event() {}
+
+// crashWatch is the engine's state about requests that crash targets.
+type crashWatch struct {
+	suspects    *quarantine.Suspects
+	checks      map[CheckID]*check
+	lastCheckID CheckID
+	// alone counts the suspect requests in progress by fingerprint.
+	alone map[quarantine.Fingerprint]int
+	// news holds the fingerprints to tell the peers about at tellAt, in order.
+	news   []quarantine.Fingerprint
+	tellAt time.Duration
+	syncAt time.Duration
+}
+
+// check is a check of a target that lost the connection of an attempt.
+type check struct {
+	request *request
+	target  *target
+	// alone states that the attempt was that of a suspect request.
+	alone bool
+}
+
+func newCrashWatch() crashWatch {
+	return crashWatch{
+		suspects: quarantine.NewSuspects(quarantine.SuspectsConfig{MaxEntries: maxSuspects, SuspectFor: suspectFor, ConvictFor: convictFor}),
+		checks:   map[CheckID]*check{},
+		alone:    map[quarantine.Fingerprint]int{},
+	}
+}
+
+// fingerprint returns the request's fingerprint, which is computed once.
+func (r *request) fingerprint() quarantine.Fingerprint {
+	if !r.fingerprinted {
+		r.print, r.fingerprinted = fingerprintOf(r.Request), true
+	}
+	return r.print
+}
+
+// crashes returns the number of crashes that count against the request, 0 once it was answered.
+func (e *Engine) crashes(now clock.Instant, r *request) int {
+	if r.answered || e.crash.suspects.Len() == 0 {
+		return 0
+	}
+	return e.crash.suspects.Crashes(now.Mono, r.fingerprint())
+}
+
+// quarantined returns the code to refuse a request with that crashes targets, or result.OK. Of the
+// suspect requests with one fingerprint, one at a time may run on this host.
+func (e *Engine) quarantined(now clock.Instant, r *request) (code result.Code, retryAfter time.Duration) {
+	if e.crash.suspects.Len() == 0 {
+		return result.OK, 0
+	}
+	f := r.fingerprint()
+	if remaining, convicted := e.crash.suspects.Convicted(now.Mono, f); convicted {
+		return result.Quarantined, remaining
+	}
+	r.suspect = e.crashes(now, r) >= quarantine.CrashesToSuspect
+	if r.suspect && e.crash.alone[f] > 0 {
+		return result.Shed, e.retryAfter()
+	}
+	return result.OK, 0
+}
+
+// admitSuspect counts a suspect request that starts, releaseSuspect one that ends.
+func (e *Engine) admitSuspect(now clock.Instant, r *request) {
+	if !r.suspect {
+		return
+	}
+	e.crash.alone[r.fingerprint()]++
+	start := e.rng.IntN(len(r.shards))
+	r.soloShard = start
+	for n := range r.shards {
+		i := (start + n) % len(r.shards)
+		sh := &r.shards[i]
+		if t, _ := e.chooseTarget(now, sh.service, r, sh); t != nil && now.Mono >= t.backoffUntil {
+			r.soloShard = i
+			return
+		}
+	}
+}
+
+func (e *Engine) releaseSuspect(r *request) {
+	if !r.suspect {
+		return
+	}
+	f := r.fingerprint()
+	if e.crash.alone[f]--; e.crash.alone[f] <= 0 {
+		delete(e.crash.alone, f)
+	}
+}
+
+// runsAlone reports whether the request may have one attempt in progress only.
+func (r *request) runsAlone() bool { return r.suspect && !r.answered }
+
+// hold states whether a shard may be tried.
+type hold int
+
+const (
+	// notHeld allows it, heldForNow until something else happens to the request, and heldForGood
+	// never again.
+	notHeld hold = iota
+	heldForNow
+	heldForGood
+)
+
+// holdOf returns the hold on a shard given the crashes under the request: a suspect request tries
+// one shard, and no request is repeated while a check is in progress or after CrashesToSuspect
+// crashes.
+func (e *Engine) holdOf(now clock.Instant, r *request, i int) hold {
+	sh := &r.shards[i]
+	checking := r.checks > 0 && now.Mono < r.checkedBy
+	switch {
+	case r.answered:
+		return notHeld
+	case r.ran && !checking && e.crashes(now, r) >= quarantine.CrashesToSuspect:
+		return heldForGood
+	case r.suspect && i != r.soloShard, checking && sh.delivered > 0 && r.mayDispatch(sh):
+		return heldForNow
+	}
+	return notHeld
+}
+
+// heldUntil returns when to look again at a request with a shard that is heldForNow.
+func (e *Engine) heldUntil(now clock.Instant, r *request) time.Duration {
+	if r.checks > 0 && now.Mono < r.checkedBy {
+		return r.checkedBy
+	}
+	return r.deadline
+}
+
+// checkTarget checks the target of a lost attempt, unless the request has been answered elsewhere.
+func (e *Engine) checkTarget(now clock.Instant, a *attempt, fx *Effects) {
+	r := a.request
+	if r.answered {
+		return
+	}
+	e.crash.lastCheckID++
+	id := e.crash.lastCheckID
+	e.crash.checks[id] = &check{request: r, target: a.target, alone: a.alone}
+	r.checks++
+	r.checkedBy = now.Mono + checkPatience
+	fx.Checks = append(fx.Checks, Check{ID: id, Target: a.target.spec})
+}
+
+func (e *Engine) targetChecked(now clock.Instant, ev *TargetChecked, fx *Effects) {
+	c := e.crash.checks[ev.ID]
+	if c == nil {
+		return
+	}
+	delete(e.crash.checks, ev.ID)
+	r := c.request
+	r.checks--
+	if ev.Refused {
+		c.target.backOff(now.Mono, e.rng.Float64())
+		if !r.answered {
+			e.recordCrash(now, ev.ID, c, fx)
+		}
+	}
+	if !r.ended {
+		e.poll(now, r, fx)
+	}
+}
+
+// recordCrash records the crash of a target under a request that no target has answered.
+func (e *Engine) recordCrash(now clock.Instant, id CheckID, c *check, fx *Effects) {
+	r, f := c.request, c.request.fingerprint()
+	e.counters.Crashes++
+	news := e.crash.suspects.RecordCrash(now.Mono, f, e.crashID(id), c.alone)
+	_, convicted := e.crash.suspects.Convicted(now.Mono, f)
+	fx.Records = append(fx.Records, decision.Warning("target_crashed",
+		decision.String("request", r.ID), decision.String("fingerprint", f.String()), decision.String("route", r.route.Name),
+		decision.String("target", c.target.spec.Instance), decision.Int("crashes", e.crash.suspects.Crashes(now.Mono, f)),
+		decision.Bool("alone", c.alone), decision.Bool("convicted", convicted)))
+	if news {
+		e.tellLater(now, f)
+	}
+}
+
+// crashID returns the identity of the crash that a check found. The seed differs between the starts
+// of a host.
+func (e *Engine) crashID(id CheckID) quarantine.CrashID {
+	b := binary.BigEndian.AppendUint64([]byte(e.cfg.Host), e.cfg.Seed)
+	return quarantine.CrashID(xxhash.Sum64(binary.BigEndian.AppendUint64(b, uint64(id))))
+}
+
+// recordAnswer records that a target has answered the request.
+func (e *Engine) recordAnswer(now clock.Instant, r *request, fx *Effects) {
+	if r.answered {
+		return
+	}
+	solo := r.runsAlone()
+	r.answered = true
+	if e.crash.suspects.Len() > 0 && e.crash.suspects.RecordAnswer(now.Mono, r.fingerprint()) {
+		fx.Records = append(fx.Records, decision.New("suspect_cleared",
+			decision.String("request", r.ID), decision.String("fingerprint", r.fingerprint().String())))
+		e.tellLater(now, r.fingerprint())
+	}
+	if solo && !r.ended {
+		e.delegate(now, r, fx)
+	}
+}
+
+func (e *Engine) factsReceived(now clock.Instant, ev *FactsReceived) {
+	for i := range ev.Facts {
+		news := e.crash.suspects.Merge(now.Mono, &ev.Facts[i])
+		if news && len(e.peers) > maxDirectPeers {
+			e.tellLater(now, ev.Facts[i].Fingerprint)
+		}
+	}
+}
+
+// tellLater has the peers told about a fingerprint after tellDelay.
+func (e *Engine) tellLater(now clock.Instant, f quarantine.Fingerprint) {
+	if len(e.crash.news) == 0 {
+		e.crash.tellAt = now.Mono + tellDelay
+	}
+	e.crash.news = append(e.crash.news, f)
+}
+
+// tellWake returns when tellPeers must next be called, and false if no time is set.
+func (e *Engine) tellWake() (time.Duration, bool) {
+	switch {
+	case len(e.crash.news) > 0:
+		return e.crash.tellAt, true
+	case e.crash.suspects.Len() > 0 && len(e.peers) > 0:
+		return e.crash.syncAt, true
+	}
+	return 0, false
+}
+
+// tellPeers tells the peers the news, and one of them everything, if it is time.
+func (e *Engine) tellPeers(now clock.Instant, fx *Effects) {
+	if len(e.crash.news) > 0 && now.Mono >= e.crash.tellAt {
+		facts := e.facts(now, e.crash.news)
+		e.crash.news = nil
+		for _, host := range e.peersToTell(maxDirectPeers) {
+			fx.Tells = append(fx.Tells, Tell{Peer: host, Facts: facts})
+		}
+	}
+	if e.crash.suspects.Len() > 0 && now.Mono >= e.crash.syncAt {
+		e.crash.syncAt = now.Mono + syncInterval
+		facts := e.facts(now, e.crash.suspects.Newest(now.Mono, maxFactsPerMessage))
+		for _, host := range e.peersToTell(1) {
+			fx.Tells = append(fx.Tells, Tell{Peer: host, Facts: facts})
+		}
+	}
+}
+
+func (e *Engine) facts(now clock.Instant, prints []quarantine.Fingerprint) []quarantine.CrashFact {
+	var facts []quarantine.CrashFact
+	told := map[quarantine.Fingerprint]bool{}
+	for _, f := range prints {
+		if fact, ok := e.crash.suspects.Fact(now.Mono, f); ok && !told[f] && len(facts) < maxFactsPerMessage {
+			facts, told[f] = append(facts, fact), true
+		}
+	}
+	return facts
+}
+
+// peersToTell returns the names of all peers, or of limit random ones if there are more.
+func (e *Engine) peersToTell(limit int) []string {
+	names := sortedKeys(e.peers)
+	if len(names) > limit {
+		e.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		names = names[:limit]
+	}
+	return names
+}
--- a/internal/core/relay/dispatch.go
+++ b/internal/core/relay/dispatch.go
@@ -102,7 +102,7 @@
 	a := &attempt{
 		id: e.lastAttemptID, request: r, shard: i, target: t, sent: now.Mono,
 		lateAfter: e.lateAfter(r, t), extra: extra, hedge: hedge,
-		probe: t.consecutiveFailures > 0,
+		probe: t.consecutiveFailures > 0, alone: r.runsAlone(),
 	}
 	if a.probe {
 		e.probesOf(t.spec.Zone).open++
@@ -220,11 +220,17 @@
 	if sh.handoff != nil {
 		return e.pollHandoff(now, r, sh.handoff, fx), true
 	}
+	switch e.holdOf(now, r, i) {
+	case heldForGood:
+		return r.deadline, len(sh.open) > 0
+	case heldForNow:
+		return e.heldUntil(now, r), true
+	}
 	if len(sh.open) == 0 {
 		return e.pollIdleShard(now, r, i, fx)
 	}
 	newest := sh.open[len(sh.open)-1]
-	if !r.route.Idempotent || r.isDirect() || !r.mayDispatch(sh) || r.hedges >= minHedges+len(r.shards)/hedgeDivisor {
+	if !r.route.Idempotent || r.isDirect() || r.runsAlone() || !r.mayDispatch(sh) || r.hedges >= minHedges+len(r.shards)/hedgeDivisor {
 		return r.deadline, true
 	}
 	due = e.hedgeAt(now, r, sh, newest)
--- a/internal/core/relay/engine.go
+++ b/internal/core/relay/engine.go
@@ -49,6 +49,8 @@
 	// BudgetDenied counts the hedges and retries that were not sent because the retry budget
 	// was exhausted.
 	BudgetDenied uint64 `json:"budget_denied"`
+	// Crashes counts the targets that crashed under a request that none had answered.
+	Crashes uint64 `json:"crashes"`
 	// Handoffs counts the handoffs to peers.
 	Handoffs uint64 `json:"handoffs"`
 	// Outcomes counts the ended attempts by the name of their outcome.
@@ -97,6 +99,7 @@
 	attempts      map[AttemptID]*attempt
 	timers        timerHeap
 	lastAttemptID AttemptID
+	crash         crashWatch
 	counters      Counters
 }
 
@@ -114,6 +117,7 @@
 		attempts: map[AttemptID]*attempt{},
 		handoffs: map[HandoffID]*handoff{}, partitions: map[partitionKey]*partition{},
 		probes:   map[string]*zoneProbes{},
+		crash:    newCrashWatch(),
 		zones:    zoneLatency{own: cfg.Zone, minLatency: map[string]time.Duration{}, minRTT: map[string]time.Duration{}},
 		counters: Counters{Outcomes: map[string]uint64{}},
 	}
@@ -143,13 +147,18 @@
 		e.updateShares(now)
 	case *HandoffEnded:
 		e.handoffEnded(now, ev, fx)
+	case *TargetChecked:
+		e.targetChecked(now, ev, fx)
+	case *FactsReceived:
+		e.factsReceived(now, ev)
 	}
 	fx.Links = append(fx.Links, e.linksWanted...)
 	e.linksWanted = e.linksWanted[:0]
 }
 
-// Advance polls the requests whose timers are due.
+// Advance polls the requests whose timers are due, and tells peers what they should know.
 func (e *Engine) Advance(now clock.Instant, fx *Effects) {
+	e.tellPeers(now, fx)
 	for {
 		r, ok := e.timers.popDue(now.Mono)
 		if !ok {
@@ -166,10 +175,11 @@
 // NextWake returns the monotonic time at which Advance must next be called, and false if no
 // timer is set.
 func (e *Engine) NextWake() (time.Duration, bool) {
-	if len(e.timers) == 0 {
-		return 0, false
+	due, ok := e.tellWake()
+	if len(e.timers) > 0 && (!ok || e.timers[0].due < due) {
+		return e.timers[0].due, true
 	}
-	return e.timers[0].due, true
+	return due, ok
 }
 
 // InProgress returns the number of requests in progress.
--- a/internal/core/relay/event.go
+++ b/internal/core/relay/event.go
@@ -206,6 +206,9 @@
 	// Handoffs and HandoffCancels are sent to peers.
 	Handoffs       []Handoff
 	HandoffCancels []HandoffCancel
+	// Checks are made of targets, Tells sent to peers.
+	Checks []Check
+	Tells  []Tell
 }
 
 // Reset empties the effects and keeps the allocated memory.
@@ -220,5 +223,8 @@
 	clear(fx.Handoffs)
 	fx.Handoffs = fx.Handoffs[:0]
 	fx.HandoffCancels = fx.HandoffCancels[:0]
+	fx.Checks = fx.Checks[:0]
+	clear(fx.Tells)
+	fx.Tells = fx.Tells[:0]
 	fx.Links = fx.Links[:0]
 }
--- a/internal/core/relay/handoff.go
+++ b/internal/core/relay/handoff.go
@@ -100,11 +100,11 @@
 // keeps no connections to their targets, or if they have targets in a peer's region and none in
 // this host's region. Each handoff has at least minHandoffShards shards.
 func (e *Engine) delegate(now clock.Instant, r *request, fx *Effects) {
-	if !r.isGather() || len(e.peers) == 0 || !e.mayDelegate(r) {
+	if !r.isGather() || len(e.peers) == 0 || !e.mayDelegate(r) || r.runsAlone() && !e.mustDelegate(r) {
 		return
 	}
 	rest, remote := e.shardsToDelegate(r)
-	if r.Gather == nil {
+	if r.Gather == nil && !r.runsAlone() {
 		rest = e.assignParts(now, r, rest, e.cfg.Region, fx)
 	}
 	if e.isHub(e.cfg.Host) {
@@ -381,6 +381,9 @@
 			decision.Int("shards", len(h.shards)), decision.String("reason", ev.Reason), decision.Millis("elapsed", now.Mono-h.sentAt)))
 	}
 	e.reclaimShards(r, h, ev.Answer == nil && ev.NotSent)
+	if ev.Answer != nil && len(ev.Answer.Parts) > 0 {
+		e.recordAnswer(now, r, fx)
+	}
 	if ev.Answer == nil {
 		e.delegate(now, r, fx)
 	}
--- a/internal/core/relay/reply.go
+++ b/internal/core/relay/reply.go
@@ -51,6 +51,12 @@
 			sh.service.budget.refund()
 		}
 	}
+	switch {
+	case ev.Outcome == Answered:
+		e.recordAnswer(now, r, fx)
+	case ev.Outcome == Lost && a.via == nil:
+		e.checkTarget(now, a, fx)
+	}
 	if !r.ended {
 		e.applyOutcome(now, r, sh, a, ev, fx)
 	}
@@ -163,5 +169,6 @@
 
 func (e *Engine) endRequest(r *request) {
 	r.ended = true
+	e.releaseSuspect(r)
 	delete(e.requests, r.Key)
 }
--- a/internal/core/relay/request.go
+++ b/internal/core/relay/request.go
@@ -5,6 +5,7 @@
 
 	"pollentack.example/pollentack/internal/core/catalog"
 	"pollentack.example/pollentack/internal/core/quantile"
+	"pollentack.example/pollentack/internal/core/quarantine"
 )
 
 // attempt is a request to one target that is in progress.
@@ -23,6 +24,8 @@
 	hedge bool
 	// probe is set if the target had failed and not replied since.
 	probe bool
+	// alone is set if the request was suspect and ran nowhere else.
+	alone bool
 }
 
 // shard is the state of a request at one of its services. A request to a single service has
@@ -108,6 +111,19 @@
 	// ran is set if an ended attempt or handoff may have run the request.
 	ran   bool
 	ended bool
+
+	print         quarantine.Fingerprint
+	fingerprinted bool
+	// answered is set once a target has answered the request, whatever its status.
+	answered bool
+	// checks counts the checks in progress of targets that lost the request. They hold it up
+	// until checkedBy.
+	checks    int
+	checkedBy time.Duration
+	// suspect is set if targets crashed under earlier requests with the fingerprint. Only
+	// soloShard is then tried until a target has answered.
+	suspect   bool
+	soloShard int
 }
 
 // isDirect reports whether a peer requests a single attempt at a target in this host's region.
--- a/internal/core/relay/simulation_test.go
+++ b/internal/core/relay/simulation_test.go
@@ -36,11 +36,18 @@
 	nextKey uint64
 	// behaviors overrides the behavior of targets by instance. peers defines the behavior of
 	// peers by host; a peer without an entry never answers.
-	behaviors   map[string]behavior
-	peers       map[string]func(sim *simulation, h *Handoff) (*HandoffEnded, time.Duration)
-	sends       []Send
-	handoffs    []Handoff
-	cancels     []Cancel
+	behaviors map[string]behavior
+	peers     map[string]func(sim *simulation, h *Handoff) (*HandoffEnded, time.Duration)
+	sends     []Send
+	handoffs  []Handoff
+	cancels   []Cancel
+	tells     []Tell
+	// refusing holds the instances whose hosts refuse connections to a check.
+	refusing map[string]bool
+	// restarts holds when targets that crashed listen again, by instance.
+	restarts map[string]time.Duration
+	// crashed counts the crashes of targets.
+	crashed     int
 	answers     map[uint64]Answer
 	submittedAt map[uint64]time.Duration
 	elapsed     map[uint64]time.Duration
@@ -83,7 +90,7 @@
 	sim := &simulation{
 		t: t, engine: New(testConfig()), behaviors: map[string]behavior{}, answers: map[uint64]Answer{},
 		submittedAt: map[uint64]time.Duration{}, elapsed: map[uint64]time.Duration{},
-		peers: map[string]func(*simulation, *Handoff) (*HandoffEnded, time.Duration){},
+		peers: map[string]func(*simulation, *Handoff) (*HandoffEnded, time.Duration){}, refusing: map[string]bool{}, restarts: map[string]time.Duration{},
 	}
 	sim.step(&ViewChanged{View: testView(shards)})
 	return sim
@@ -148,6 +155,10 @@
 		}
 	}
 	sim.cancels = append(sim.cancels, sim.fx.Cancels...)
+	sim.tells = append(sim.tells, sim.fx.Tells...)
+	for _, c := range sim.fx.Checks {
+		sim.after(time.Millisecond, &TargetChecked{ID: c.ID, Refused: sim.refusing[c.Target.Instance]})
+	}
 	for _, a := range sim.fx.Answers {
 		if _, duplicate := sim.answers[a.Key]; duplicate {
 			sim.t.Errorf("request %d was answered twice", a.Key)
@@ -199,7 +210,7 @@
 func (sim *simulation) submit(path string) uint64 {
 	sim.nextKey++
 	sim.submittedAt[sim.nextKey] = sim.now.Mono
-	sim.step(&Submit{Request: &Request{Key: sim.nextKey, ID: fmt.Sprint(sim.nextKey), Host: "h", Path: path}})
+	sim.step(&Submit{Request: &Request{Key: sim.nextKey, ID: fmt.Sprint(sim.nextKey), Host: "h", Path: path, Target: path}})
 	return sim.nextKey
 }
 
@@ -217,6 +228,12 @@
 		if next > sim.now.Mono {
 			sim.now = sim.now.Add(next - sim.now.Mono)
 		}
+		for instance, at := range sim.restarts {
+			if at <= sim.now.Mono {
+				delete(sim.restarts, instance)
+				delete(sim.refusing, instance)
+			}
+		}
 		for len(sim.pending) > 0 && sim.pending[0].due <= sim.now.Mono {
 			sim.step(heap.Pop(&sim.pending).(pendingEvent).ev)
 		}
@@ -249,6 +266,14 @@
 	return a
 }
 
+// wantCodeOf submits a request and checks the code that it ends with.
+func (sim *simulation) wantCodeOf(path string, want result.Code) {
+	sim.t.Helper()
+	key := sim.submit(path)
+	sim.advance(timeout)
+	sim.wantCode(key, want)
+}
+
 func (sim *simulation) wantCode(key uint64, want result.Code) {
 	sim.t.Helper()
 	if got := sim.answer(key).Code; got != want {
--- a/internal/core/relay/submit.go
+++ b/internal/core/relay/submit.go
@@ -43,7 +43,12 @@
 		e.refuse(rq, route, result.DeadlineTooShort, fx)
 		return
 	}
+	if code, retryAfter := e.quarantined(now, r); code != result.OK {
+		e.refuseFor(rq, route, code, retryAfter, fx)
+		return
+	}
 	e.requests[rq.Key] = r
+	e.admitSuspect(now, r)
 	e.delegate(now, r, fx)
 	e.poll(now, r, fx)
 }
@@ -128,15 +133,21 @@
 
 // refuse answers a request that was not started.
 func (e *Engine) refuse(rq *Request, route *catalog.Route, code result.Code, fx *Effects) {
+	var retryAfter time.Duration
+	if code != result.ServiceUnknown {
+		retryAfter = e.retryAfter()
+	}
+	e.refuseFor(rq, route, code, retryAfter, fx)
+}
+
+// refuseFor is refuse with the delay after which the caller may retry, 0 for unspecified.
+func (e *Engine) refuseFor(rq *Request, route *catalog.Route, code result.Code, retryAfter time.Duration, fx *Effects) {
 	e.counters.Refused++
 	name := ""
 	if route != nil {
 		name = route.Name
 	}
-	answer := Answer{Key: rq.Key, Code: code}
-	if code != result.ServiceUnknown {
-		answer.RetryAfter = e.retryAfter()
-	}
+	answer := Answer{Key: rq.Key, Code: code, RetryAfter: retryAfter}
 	fx.Answers = append(fx.Answers, answer)
 	fx.Records = append(fx.Records, decision.Warning("request_refused",
 		decision.String("request", rq.ID), decision.String("route", name), decision.String("host", rq.Host), decision.String("path", rq.Path),
--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -198,6 +199,23 @@
 	return reply
 }
 
+// checkTimeout bounds the time to connect to a target that is checked. A host whose process has
+// ended refuses a connection within the round-trip time; one that is silent shows nothing.
+const checkTimeout = 100 * time.Millisecond
+
+// Refuses reports whether a target's host refuses connections, as it does once the process has
+// ended. A connection that the check makes is kept for the next request.
+func (c *Client) Refuses(t *catalog.Target) bool {
+	conn, err := dial(t.Address, checkTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	}
+	c.dials.Add(1)
+	conn.expires = time.Now().Add(extraKeepAlive)
+	c.pool.put(poolKeyOf(t), conn)
+	return false
+}
+
 // noResponse returns the reply of an attempt that ended without a response.
 func noResponse(outcome relay.Outcome, reason string) *relay.AttemptEnded {
 	return &relay.AttemptEnded{Outcome: outcome, Reason: reason}
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -56,6 +56,7 @@
 	}
 	m.Handle(wire.CallKind_CALL_KIND_GATHER, h.serve)
 	m.Handle(wire.CallKind_CALL_KIND_GATHER_CANCEL, h.serveCancel)
+	m.Handle(wire.CallKind_CALL_KIND_CRASHES, h.serveCrashes)
 	return h
 }
 
@@ -129,6 +130,29 @@
 	_, _ = h.mesh.Call(x.Peer, wire.CallKind_CALL_KIND_GATHER_CANCEL, marshal(&wire.GatherCancel{Handoff: uint64(x.ID)}), cancelTimeout)
 }
 
+// tellTimeout is the timeout of a message about crashes.
+const tellTimeout = time.Second
+
+// tell sends a peer what this host knows about crashes. If the message is lost, a later one
+// repeats it.
+func (h *handoffs) tell(x *relay.Tell) {
+	if _, err := h.mesh.Call(x.Peer, wire.CallKind_CALL_KIND_CRASHES, marshal(wire.FromCrashFacts(x.Facts)), tellTimeout); err != nil {
+		h.log.Debug().Str("event", "crashes_not_told").Str("peer", x.Peer).Err(err).Send()
+	}
+}
+
+// serveCrashes handles what a peer knows about crashes.
+func (h *handoffs) serveCrashes(from string, payload []byte) []byte {
+	in := &wire.CrashFacts{}
+	if err := proto.Unmarshal(payload, in); err != nil {
+		h.log.Warn().Str("event", "peer_call_malformed").Str("peer", from).Err(err).Send()
+		return nil
+	}
+	// If the ring is full, the facts are lost; the peer sends them again.
+	h.put(&relay.FactsReceived{Facts: in.ToCore()})
+	return nil
+}
+
 // linkTimeout bounds the time to make a link ahead of the first handoff.
 const linkTimeout = 2 * time.Second
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -145,6 +145,17 @@
 		// If the ring has no room, the first handoff makes the link.
 		r.dispatch(job{link: host})
 	}
+	for i := range fx.Checks {
+		x := fx.Checks[i]
+		if !r.dispatch(job{check: &x}) {
+			r.undispatched = append(r.undispatched, &relay.TargetChecked{ID: x.ID})
+		}
+	}
+	for i := range fx.Tells {
+		x := fx.Tells[i]
+		// If the ring has no room, the message is lost as one on the network may be.
+		r.dispatch(job{tell: &x})
+	}
 	for i := range fx.HandoffCancels {
 		x := fx.HandoffCancels[i]
 		// If the ring has no room, the peer only does work whose result is not used.
@@ -170,7 +181,9 @@
 	handoff       *relay.Handoff
 	handoffCancel *relay.HandoffCancel
 	// link is the name of a peer to make a link to.
-	link string
+	link  string
+	check *relay.Check
+	tell  *relay.Tell
 }
 
 // upstreamDuty is the duty that passes the exchanges with targets and peers to workers.
@@ -241,6 +254,14 @@
 	case j.link != "":
 		// If all workers are busy, the first handoff makes the link.
 		_ = u.workers.Submit(func() { u.handoffs.link(j.link) })
+	case j.check != nil:
+		err := u.workers.Submit(func() { u.report(&relay.TargetChecked{ID: j.check.ID, Refused: u.client.Refuses(j.check.Target)}) })
+		if err != nil {
+			u.report(&relay.TargetChecked{ID: j.check.ID})
+		}
+	case j.tell != nil:
+		// If all workers are busy, the message is lost as one on the network may be.
+		_ = u.workers.Submit(func() { u.handoffs.tell(j.tell) })
 	case j.handoffCancel != nil:
 		// If all workers are busy, the peer only does work whose result is not used.
 		_ = u.workers.Submit(func() { u.handoffs.cancel(*j.handoffCancel) })
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -5,6 +5,7 @@
 
 	"pollentack.example/pollentack/internal/core/discovery"
 	"pollentack.example/pollentack/internal/core/fleet"
+	"pollentack.example/pollentack/internal/core/quarantine"
 	"pollentack.example/pollentack/internal/core/relay"
 	"pollentack.example/pollentack/internal/core/result"
 )
@@ -84,6 +85,47 @@
 	return r
 }
 
+// FromCrashFacts returns the protobuf message for what a host knows about crashes.
+func FromCrashFacts(facts []quarantine.CrashFact) *CrashFacts {
+	out := &CrashFacts{Facts: make([]*CrashFact, len(facts))}
+	for i := range facts {
+		f := &facts[i]
+		out.Facts[i] = &CrashFact{
+			Fingerprint: uint64(f.Fingerprint), Crashes: fromCrashIDs(f.Crashes), Refuted: fromCrashIDs(f.Refuted),
+			Convicted: f.Convicted, Age: int64(f.Age),
+		}
+	}
+	return out
+}
+
+// ToCore returns the facts as the core's type.
+func (x *CrashFacts) ToCore() []quarantine.CrashFact {
+	out := make([]quarantine.CrashFact, len(x.GetFacts()))
+	for i, f := range x.GetFacts() {
+		out[i] = quarantine.CrashFact{
+			Fingerprint: quarantine.Fingerprint(f.GetFingerprint()), Crashes: toCrashIDs(f.GetCrashes()), Refuted: toCrashIDs(f.GetRefuted()),
+			Convicted: f.GetConvicted(), Age: time.Duration(f.GetAge()),
+		}
+	}
+	return out
+}
+
+func fromCrashIDs(in []quarantine.CrashID) []uint64 {
+	out := make([]uint64, len(in))
+	for i, id := range in {
+		out[i] = uint64(id)
+	}
+	return out
+}
+
+func toCrashIDs(in []uint64) []quarantine.CrashID {
+	out := make([]quarantine.CrashID, len(in))
+	for i, id := range in {
+		out[i] = quarantine.CrashID(id)
+	}
+	return out
+}
+
 // FromAnswer returns the protobuf message for the answer to a handoff.
 func FromAnswer(a *relay.Answer) *GatherReply {
 	out := &GatherReply{Code: int32(a.Code), Body: a.Body, Spent: int64(a.Elapsed)}
