--- a/internal/core/decision/decision.go
+++ b/internal/core/decision/decision.go
@@ -44,6 +44,9 @@
 // Int returns an attribute with an integer value.
 func Int(key string, value int) Attr { return Attr{Key: key, Value: value} }
 
+// Float returns an attribute with a fractional value.
+func Float(key string, value float64) Attr { return Attr{Key: key, Value: value} }
+
 // Bool returns an attribute with a boolean value.
 func Bool(key string, value bool) Attr { return Attr{Key: key, Value: value} }
 
--- a/internal/core/relay/event.go
+++ b/internal/core/relay/event.go
@@ -120,10 +120,21 @@
 	RTT  time.Duration
 }
 
+// Notice is what a target says of itself in a reply.
+type Notice struct {
+	// Limited states that the target accepts at most RateLimit requests a second from all hosts
+	// together, for as long as its replies say so.
+	Limited   bool
+	RateLimit float64
+}
+
 // AttemptEnded reports the end of one attempt.
 type AttemptEnded struct {
 	Attempt AttemptID
 	Outcome Outcome
+	// Notice is that of the target's reply, if the outcome is Answered or Declined and no peer
+	// forwarded the attempt.
+	Notice Notice
 	// Response is set if the outcome is Answered.
 	Response *Response
 	// Reason describes why there is no response.
--- a/internal/core/relay/target.go
+++ b/internal/core/relay/target.go
@@ -68,6 +68,9 @@
 	coldUntil  time.Duration
 	coldTokens float64
 	coldAt     time.Duration
+
+	// notice is that of the last reply.
+	notice Notice
 }
 
 // expectedLatency returns the expected duration of a request to the target, including the
