--- a/internal/core/relay/simulation_test.go
+++ b/internal/core/relay/simulation_test.go
@@ -87,8 +87,13 @@
 // non-idempotent route "/once/" to the same service and a gathering route "/all/" over the
 // given number of shards. Each service has one target in zone z0 and one in z1.
 func newSimulation(t *testing.T, shards int) *simulation {
+	return newSimulationOf(t, testConfig(), shards)
+}
+
+// newSimulationOf is newSimulation with the settings of the engine.
+func newSimulationOf(t *testing.T, cfg Config, shards int) *simulation {
 	sim := &simulation{
-		t: t, engine: New(testConfig()), behaviors: map[string]behavior{}, answers: map[uint64]Answer{},
+		t: t, engine: New(cfg), behaviors: map[string]behavior{}, answers: map[uint64]Answer{},
 		submittedAt: map[uint64]time.Duration{}, elapsed: map[uint64]time.Duration{},
 		peers: map[string]func(*simulation, *Handoff) (*HandoffEnded, time.Duration){}, refusing: map[string]bool{}, restarts: map[string]time.Duration{},
 	}
