Hosts share the limit that a target names

Cause: nobody read Server-Limit. Beside it, a limit that holds for all hosts together is of no use to a host that does not know its part. Class: a bound on the whole fleet without a share for each member.

Change (core/relay/limit.go): each host that connects to the target uses its part as a token bucket of half a second; first attempts, hedges, repeats and what peers forward take tokens. Where more hosts than twice the limit connect, that many share it, others by turns of ten seconds, since the single requests that each may send at any time would add up to more. A shard whose targets have no room in time is left out; a request that could then not be answered is refused before any shard is sent, with the time after which there should be room. A reply without the header to a request sent after the limit was named lifts it.

Evidence: the four tests of the reproduction failed before and hold (TestLimit..., TestQueriesOverLimitedShards..., TestSmallLimitInLargeFleet), with TestLiftedLimit.

--- a/internal/core/relay/dispatch.go
+++ b/internal/core/relay/dispatch.go
@@ -124,6 +124,8 @@
 		p.forwarded++
 		send.Via = p.Host
 		send.Gather = e.forwardedGather(now, r, sh, p)
+	} else {
+		t.limit.take(now.Mono)
 	}
 	fx.Sends = append(fx.Sends, send)
 	if sh.sends > 1 {
@@ -252,6 +254,9 @@
 		newest := sh.open[len(sh.open)-1]
 		return newest.sent + newest.lateAfter, true
 	case noCapacity:
+		if !sh.waiting && e.limitWait(now, r, sh) > e.limitPatience(now, r, sh) {
+			return r.deadline, false
+		}
 		e.enqueueShard(r, sh, i)
 		return now.Mono + waitPollInterval, true
 	case noTarget:
--- a/internal/core/relay/engine.go
+++ b/internal/core/relay/engine.go
@@ -51,6 +51,9 @@
 	BudgetDenied uint64 `json:"budget_denied"`
 	// Crashes counts the targets that crashed under a request that none had answered.
 	Crashes uint64 `json:"crashes"`
+	// OverLimit counts the requests that were refused because the limits of targets left no
+	// room.
+	OverLimit uint64 `json:"over_limit"`
 	// Handoffs counts the handoffs to peers.
 	Handoffs uint64 `json:"handoffs"`
 	// Outcomes counts the ended attempts by the name of their outcome.
@@ -100,7 +103,11 @@
 	timers        timerHeap
 	lastAttemptID AttemptID
 	crash         crashWatch
-	counters      Counters
+	// limited holds the targets that name a limit. limitTurn numbers the turn of those that
+	// share small limits.
+	limited   map[*target]bool
+	limitTurn int64
+	counters  Counters
 }
 
 // New returns an engine that refuses all requests until it receives a configuration.
@@ -118,6 +125,7 @@
 		handoffs: map[HandoffID]*handoff{}, partitions: map[partitionKey]*partition{},
 		probes:   map[string]*zoneProbes{},
 		crash:    newCrashWatch(),
+		limited:  map[*target]bool{},
 		zones:    zoneLatency{own: cfg.Zone, minLatency: map[string]time.Duration{}, minRTT: map[string]time.Duration{}},
 		counters: Counters{Outcomes: map[string]uint64{}},
 	}
@@ -326,6 +334,7 @@
 			t.quota = connectionQuota(limit, e.connectingHosts(name, t.region))
 		}
 	}
+	e.updateLimitShares(now)
 }
 
 // defaultConnectionQuota is the quota for a target of a service without a connection limit.
--- a/internal/core/relay/handoff.go
+++ b/internal/core/relay/handoff.go
@@ -201,7 +201,7 @@
 func (e *Engine) hasSoundTarget(now clock.Instant, s *service, region string, granted map[string]int) bool {
 	for _, t := range s.targets {
 		zone := t.spec.Zone
-		if t.region != region || t.spec.Draining || e.view.EvacuatedZones[zone] || !t.allowCold(now.Mono, s, e.hosts, false) {
+		if t.region != region || t.spec.Draining || e.view.EvacuatedZones[zone] || !t.allowCold(now.Mono, s, e.hosts, false) || !t.limit.allows(now.Mono) {
 			continue
 		}
 		if e.rank(now.Mono, s, t, granted[zone]).tier == tierHealthy {
--- a/internal/core/relay/limit_test.go
+++ b/internal/core/relay/limit_test.go
@@ -187,6 +187,7 @@
 // its part of the load again.
 func TestLiftedLimit(t *testing.T) {
 	sim := newSimulation(t, 1)
+	sim.step(&MembersChanged{Members: members(0)})
 	sim.warmUp()
 	log := &arrivalLog{}
 	sim.behaviors["one@z0"] = limited(2, log)
--- a/internal/core/relay/reply.go
+++ b/internal/core/relay/reply.go
@@ -41,7 +41,7 @@
 		e.observe(now, a, ev)
 	}
 	if a.via == nil && (ev.Outcome == Answered || ev.Outcome == Declined) {
-		e.observeNotice(a, &ev.Notice, fx)
+		e.observeNotice(now, a, &ev.Notice, fx)
 	}
 	if ev.Outcome.NotRun() {
 		sh.ran--
@@ -50,6 +50,9 @@
 	}
 	if !ev.Outcome.MayHaveArrived() {
 		sh.delivered--
+		if a.via == nil {
+			a.target.limit.refund()
+		}
 		if a.extra {
 			sh.service.budget.refund()
 		}
@@ -90,17 +93,6 @@
 	}
 }
 
-// observeNotice records what a target says of itself in a reply.
-func (e *Engine) observeNotice(a *attempt, n *Notice, fx *Effects) {
-	t := a.target
-	if n.Limited != t.notice.Limited || n.RateLimit != t.notice.RateLimit {
-		fx.Records = append(fx.Records, decision.New("target_limit",
-			decision.String("request", a.request.ID), decision.String("target", t.spec.Instance), decision.String("service", t.spec.Service),
-			decision.Bool("limited", n.Limited), decision.Float("per_second", n.RateLimit), decision.Float("before", t.notice.RateLimit)))
-	}
-	t.notice = *n
-}
-
 // observeLatency records the latency of a successful attempt, without the network delay.
 func (e *Engine) observeLatency(a *attempt, elapsed time.Duration) {
 	t := a.target
--- a/internal/core/relay/submit.go
+++ b/internal/core/relay/submit.go
@@ -47,6 +47,9 @@
 		e.refuseFor(rq, route, code, retryAfter, fx)
 		return
 	}
+	if e.refuseOverLimit(now, r, fx) {
+		return
+	}
 	e.requests[rq.Key] = r
 	e.admitSuspect(now, r)
 	e.delegate(now, r, fx)
--- a/internal/core/relay/target.go
+++ b/internal/core/relay/target.go
@@ -69,8 +69,8 @@
 	coldTokens float64
 	coldAt     time.Duration
 
-	// notice is that of the last reply.
-	notice Notice
+	// limit is set while the target names one.
+	limit *rateLimit
 }
 
 // expectedLatency returns the expected duration of a request to the target, including the
@@ -211,20 +211,26 @@
 	return r.cost < o.cost
 }
 
+// mayServe reports whether a target may serve a shard, regardless of its capacity.
+func (e *Engine) mayServe(r *request, sh *shard, t *target) bool {
+	if t.removed || t.spec.Draining || e.view.EvacuatedZones[t.spec.Zone] || !r.route.AllowsRegion(t.region) {
+		return false
+	}
+	return !sh.excludes(t) && !(r.isDirect() && t.distance == otherRegion)
+}
+
 // chooseTarget returns the best target of the service that has capacity for the request, or
 // nil. It prefers targets that the shard has not tried. eligible reports whether any target
 // may serve the request, regardless of its capacity.
 func (e *Engine) chooseTarget(now clock.Instant, s *service, r *request, sh *shard) (best *target, eligible bool) {
 	var bestRank rank
 	for _, t := range s.targets {
-		if t.removed || t.spec.Draining || e.view.EvacuatedZones[t.spec.Zone] || !r.route.AllowsRegion(t.region) {
-			continue
-		}
-		if sh.excludes(t) || r.isDirect() && t.distance == otherRegion {
+		if !e.mayServe(r, sh, t) {
 			continue
 		}
 		eligible = true
-		if len(t.open) >= t.quota && e.forwarder(now, r, t) == nil || !t.allowCold(now.Mono, s, e.hosts, false) {
+		full := len(t.open) >= t.quota || !t.limit.allows(now.Mono)
+		if full && e.forwarder(now, r, t) == nil || !t.allowCold(now.Mono, s, e.hosts, false) {
 			continue
 		}
 		rk := e.rank(now.Mono, s, t, 0)
