--- a/internal/edge/targetclient/hostile_test.go
+++ b/internal/edge/targetclient/hostile_test.go
@@ -73,3 +73,43 @@
 		})
 	}
 }
+
+// TestReplyCutInItsHead has the target close the connection after each prefix of the head of a
+// reply, which must never count as one.
+func TestReplyCutInItsHead(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n"
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	var cut atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = c.Write([]byte(head[:cut.Load()]))
+			}
+			_ = c.Close()
+		}
+	}()
+	clk := sysclock.New()
+	client, err := New("h", clk, trace.NewDisabled())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	for n := range len(head) {
+		cut.Store(int64(n))
+		got := client.Search(&engine.Send{
+			Spec: &release.Target{Name: "t", Address: l.Addr().String()}, Deadline: clk.Now().Mono + 4*time.Second,
+			Request: &query.Request{}, Snapshot: &release.Snapshot{},
+		})
+		if got.Outcome != engine.Lost {
+			t.Fatalf("after %q: outcome %v, want %v", head[:n], got.Outcome, engine.Lost)
+		}
+	}
+}
