A stopping host takes no request that it could not see answered

TestRequestsLateInPlannedStop sends one request each 50 ms on connections that were open before: 8 of 80 on each of three routes ran at targets and got a 504 when the time was over.

Cause: the end of the grace was taken for a deadline of the request, not for a reason to send it elsewhere. Change: while it drains, a host refuses a request with 107 (503, not run, come back in 5 ms) if less than the route's objective is left, twice that for one that may not be repeated. A peer that handed shards to it hands them to another host. Once the listener closes, the time that is left is that of the close.

--- a/internal/core/relay/handoff.go
+++ b/internal/core/relay/handoff.go
@@ -5,6 +5,7 @@
 
 	"pollentack.example/pollentack/internal/core/clock"
 	"pollentack.example/pollentack/internal/core/decision"
+	"pollentack.example/pollentack/internal/core/result"
 )
 
 const (
@@ -366,7 +367,9 @@
 	if ev.Answer != nil {
 		h.peer.lastReply = now.Mono
 		e.observePeerRTT(h.peer, max(0, now.Mono-h.sentAt-ev.PeerElapsed))
-	} else {
+	}
+	stopping := ev.Answer != nil && ev.Answer.Code == result.Draining
+	if ev.Answer == nil || stopping {
 		h.peer.backoffUntil = now.Mono + peerBackoff
 	}
 	r := h.request
@@ -380,11 +383,11 @@
 			decision.String("request", r.ID), decision.String("route", r.route.Name), decision.String("peer", h.peer.Host),
 			decision.Int("shards", len(h.shards)), decision.String("reason", ev.Reason), decision.Millis("elapsed", now.Mono-h.sentAt)))
 	}
-	e.reclaimShards(r, h, ev.Answer == nil && ev.NotSent)
+	e.reclaimShards(r, h, stopping || ev.Answer == nil && ev.NotSent)
 	if ev.Answer != nil && len(ev.Answer.Parts) > 0 {
 		e.recordAnswer(now, r, fx)
 	}
-	if ev.Answer == nil {
+	if ev.Answer == nil || stopping {
 		e.delegate(now, r, fx)
 	}
 	e.poll(now, r, fx)
--- a/internal/core/relay/submit.go
+++ b/internal/core/relay/submit.go
@@ -28,6 +28,12 @@
 	// minRetryAfter is the minimum Retry-After delay. The delay is drawn at random between
 	// this and twice this, so that refused callers do not all retry at the same time.
 	minRetryAfter = 100 * time.Millisecond
+	// drainRetryAfter is the Retry-After delay of requests that a stopping host refuses: the
+	// next host can take them at once.
+	drainRetryAfter = 5 * time.Millisecond
+	// During a graceful shutdown a request that may not be repeated is accepted only if
+	// unrepeatableDrainFactor times its objective remains.
+	unrepeatableDrainFactor = 2
 )
 
 // submit starts or refuses a new request.
@@ -43,6 +49,10 @@
 		e.refuse(rq, route, result.DeadlineTooShort, fx)
 		return
 	}
+	if e.endsBefore(now, route) {
+		e.refuseFor(rq, route, result.Draining, drainRetryAfter, fx)
+		return
+	}
 	if code, retryAfter := e.quarantined(now, r); code != result.OK {
 		e.refuseFor(rq, route, code, retryAfter, fx)
 		return
@@ -56,6 +66,20 @@
 	e.poll(now, r, fx)
 }
 
+// endsBefore reports whether a graceful shutdown ends before a new request on the route should be
+// answered. Another host can still take the request; once it was passed on it may have to be given
+// up, which is worst for one that cannot be repeated.
+func (e *Engine) endsBefore(now clock.Instant, route *catalog.Route) bool {
+	if e.drainUntil == 0 {
+		return false
+	}
+	needed := route.LatencyObjective
+	if !route.Idempotent {
+		needed *= unrepeatableDrainFactor
+	}
+	return now.Mono+needed > e.drainUntil
+}
+
 // routeFor returns the route of a request and result.OK, or the code to refuse it with.
 func (e *Engine) routeFor(rq *Request) (*catalog.Route, result.Code) {
 	if e.view.Config == nil {
--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -43,7 +43,8 @@
 const (
 	readTimeout        = 30 * time.Second
 	defaultIdleTimeout = 90 * time.Second
-	closeTimeout       = 2 * time.Second
+	// CloseTimeout is how long Close waits for the requests in progress.
+	CloseTimeout = 2 * time.Second
 )
 
 // silenceHertzLog keeps the log lines of hertz out of the JSON log. SetLevel is not
@@ -70,7 +71,7 @@
 		server.WithMaxRequestBodySize(options.MaxBodyBytes),
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(defaultIdleTimeout),
-		server.WithExitWaitTime(closeTimeout),
+		server.WithExitWaitTime(CloseTimeout),
 		server.WithDisablePrintRoute(true),
 	}
 	if options.MaxHeaderBytes > 0 {
@@ -102,7 +103,7 @@
 // Address returns the host and port that the server listens on.
 func (s *Server) Address() string { return s.address }
 
-// Close stops listening and waits at most closeTimeout for the requests in progress.
+// Close stops listening and waits at most CloseTimeout for the requests in progress.
 func (s *Server) Close() { s.group.Stop() }
 
 // CloseConnections closes every connection without waiting for its request, as if the process
@@ -110,7 +111,7 @@
 func (s *Server) CloseConnections() { s.listener.closeAll() }
 
 func (s *Server) shutdown() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), CloseTimeout)
 	defer cancel()
 	s.listener.interruptReads()
 	_ = s.hertz.Shutdown(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -264,6 +264,11 @@
 	}
 	g.log.Info().Str("event", "gateway_stopping").Int("in_progress", g.ingress.InProgress()).
 		Dur("drained_for", time.Since(begin)).Send()
+	// Requests that arrive until the listener is closed have less time than those before.
+	closed := g.clock.Now().Mono + httpd.CloseTimeout - answerFlushTime
+	if !g.relay.put(&relay.Drain{Until: min(answerDeadline, closed)}) {
+		g.log.Error().Str("event", "drain_dropped").Str("reason", "relay ring is full").Send()
+	}
 	g.ingress.Close()
 	// The mesh stops before the duties, since a duty may be waiting for a peer's answer.
 	g.fleet.mesh.Stop()
