A target that says in its replies that it leaves gets no new requests

Until now only the entry in the store was heeded, which comes later or not at all; requests reached such a target until then (DRAIN).

Change: the reply's word holds on the host that got it, from its next choice of a target on, until the target starts again. core/relay/notice.go applies what a target says of itself; the limit moved under it unchanged.

--- a/internal/core/relay/event.go
+++ b/internal/core/relay/event.go
@@ -126,6 +126,8 @@
 	// together, for as long as its replies say so.
 	Limited   bool
 	RateLimit float64
+	// Leaving states that the target is about to stop and takes no new requests.
+	Leaving bool
 }
 
 // AttemptEnded reports the end of one attempt.
--- a/internal/core/relay/handoff.go
+++ b/internal/core/relay/handoff.go
@@ -174,7 +174,7 @@
 // draining and whose availability zone is in use.
 func (e *Engine) hasTargetInRegion(s *service, region string) bool {
 	for _, t := range s.targets {
-		if t.region == region && !t.spec.Draining && !e.view.EvacuatedZones[t.spec.Zone] {
+		if t.region == region && !t.draining() && !e.view.EvacuatedZones[t.spec.Zone] {
 			return true
 		}
 	}
@@ -202,7 +202,7 @@
 func (e *Engine) hasSoundTarget(now clock.Instant, s *service, region string, granted map[string]int) bool {
 	for _, t := range s.targets {
 		zone := t.spec.Zone
-		if t.region != region || t.spec.Draining || e.view.EvacuatedZones[zone] || !t.allowCold(now.Mono, s, e.hosts, false) || !t.limit.allows(now.Mono) {
+		if t.region != region || t.draining() || e.view.EvacuatedZones[zone] || !t.allowCold(now.Mono, s, e.hosts, false) || !t.limit.allows(now.Mono) {
 			continue
 		}
 		if e.rank(now.Mono, s, t, granted[zone]).tier == tierHealthy {
--- a/internal/core/relay/limit.go
+++ b/internal/core/relay/limit.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// observeNotice applies what a target says of itself in a reply.
-func (e *Engine) observeNotice(now clock.Instant, a *attempt, n *Notice, fx *Effects) {
+// observeLimit applies the limit, or its absence, in a reply.
+func (e *Engine) observeLimit(now clock.Instant, a *attempt, n *Notice, fx *Effects) {
 	t, before := a.target, 0.0
 	if t.limit != nil {
 		before = t.limit.perSecond
--- /dev/null
+++ b/internal/core/relay/notice.go
@@ -0,0 +1,25 @@
+package relay
+
+import (
+	"pollentack.example/pollentack/internal/core/clock"
+	"pollentack.example/pollentack/internal/core/decision"
+)
+
+// observeNotice applies what a target says of itself in a reply.
+func (e *Engine) observeNotice(now clock.Instant, a *attempt, n *Notice, fx *Effects) {
+	e.observeLimit(now, a, n, fx)
+	e.observeLeaving(a, n, fx)
+}
+
+// observeLeaving excludes a target that says that it leaves. Its entry in the store says so later,
+// or not at all before it is removed. The next start of the target is another one.
+func (e *Engine) observeLeaving(a *attempt, n *Notice, fx *Effects) {
+	t := a.target
+	if !n.Leaving || t.leaving {
+		return
+	}
+	t.leaving = true
+	fx.Records = append(fx.Records, decision.New("target_leaving",
+		decision.String("request", a.request.ID), decision.String("target", t.spec.Instance), decision.String("service", t.spec.Service),
+		decision.Bool("entry_draining", t.spec.Draining), decision.Uint("entry_revision", t.spec.Revision)))
+}
--- a/internal/core/relay/target.go
+++ b/internal/core/relay/target.go
@@ -71,8 +71,13 @@
 
 	// limit is set while the target names one.
 	limit *rateLimit
+	// leaving is set once a reply of the target has said that it leaves.
+	leaving bool
 }
 
+// draining reports whether the target takes no new requests, as its entry or a reply has said.
+func (t *target) draining() bool { return t.spec.Draining || t.leaving }
+
 // expectedLatency returns the expected duration of a request to the target, including the
 // network delay. The target's own latency is used until latencyTTL after its last reply,
 // then the latency of the service.
@@ -213,7 +218,7 @@
 
 // mayServe reports whether a target may serve a shard, regardless of its capacity.
 func (e *Engine) mayServe(r *request, sh *shard, t *target) bool {
-	if t.removed || t.spec.Draining || e.view.EvacuatedZones[t.spec.Zone] || !r.route.AllowsRegion(t.region) {
+	if t.removed || t.draining() || e.view.EvacuatedZones[t.spec.Zone] || !r.route.AllowsRegion(t.region) {
 		return false
 	}
 	return !sh.excludes(t) && !(r.isDirect() && t.distance == otherRegion)
