A target that turns requests away with Retry-After gets none for so long

Other targets serve meanwhile; a request that only paused targets could serve is refused at once, with the time after which one takes requests again, as for limits.

--- a/internal/core/relay/engine.go
+++ b/internal/core/relay/engine.go
@@ -103,11 +103,11 @@
 	timers        timerHeap
 	lastAttemptID AttemptID
 	crash         crashWatch
-	// limited holds the targets that name a limit. limitTurn numbers the turn of those that
-	// share small limits.
-	limited   map[*target]bool
-	limitTurn int64
-	counters  Counters
+	// restricted holds the targets that name a limit or want a pause. limitTurn numbers the turn
+	// of the hosts that share small limits.
+	restricted map[*target]bool
+	limitTurn  int64
+	counters   Counters
 }
 
 // New returns an engine that refuses all requests until it receives a configuration.
@@ -123,11 +123,11 @@
 		requests: map[uint64]*request{},
 		attempts: map[AttemptID]*attempt{},
 		handoffs: map[HandoffID]*handoff{}, partitions: map[partitionKey]*partition{},
-		probes:   map[string]*zoneProbes{},
-		crash:    newCrashWatch(),
-		limited:  map[*target]bool{},
-		zones:    zoneLatency{own: cfg.Zone, minLatency: map[string]time.Duration{}, minRTT: map[string]time.Duration{}},
-		counters: Counters{Outcomes: map[string]uint64{}},
+		probes:     map[string]*zoneProbes{},
+		crash:      newCrashWatch(),
+		restricted: map[*target]bool{},
+		zones:      zoneLatency{own: cfg.Zone, minLatency: map[string]time.Duration{}, minRTT: map[string]time.Duration{}},
+		counters:   Counters{Outcomes: map[string]uint64{}},
 	}
 }
 
--- a/internal/core/relay/event.go
+++ b/internal/core/relay/event.go
@@ -128,6 +128,8 @@
 	RateLimit float64
 	// Leaving states that the target is about to stop and takes no new requests.
 	Leaving bool
+	// RetryAfter is how long the target wants no requests from this host, 0 if it did not say.
+	RetryAfter time.Duration
 }
 
 // AttemptEnded reports the end of one attempt.
--- a/internal/core/relay/limit.go
+++ b/internal/core/relay/limit.go
@@ -87,14 +87,13 @@
 		e.shareLimit(now, t)
 		// The hosts begin at different levels, so that their first requests do not coincide.
 		t.limit.tokens = e.rng.Float64() * min(1, t.limit.capacity())
-		e.limited[t] = true
+		e.restricted[t] = true
 	case n.Limited:
 		t.limit.perSecond = n.RateLimit
 		e.shareLimit(now, t)
 	case t.limit != nil && a.sent > t.limit.namedAt:
 		// The reply to a request that was sent before the limit was named may be older.
 		t.limit = nil
-		delete(e.limited, t)
 	default:
 		return
 	}
@@ -152,37 +151,53 @@
 // forgets the targets that were removed.
 func (e *Engine) updateLimitShares(now clock.Instant) {
 	e.limitTurn = int64(now.Wall / limitTurn)
-	for t := range e.limited {
-		if t.removed {
-			delete(e.limited, t)
-			continue
+	for t := range e.restricted {
+		switch {
+		case t.removed || t.limit == nil && now.Mono >= t.pausedUntil:
+			delete(e.restricted, t)
+		case t.limit != nil:
+			e.shareLimit(now, t)
 		}
-		e.shareLimit(now, t)
 	}
 }
 
-// limitWait returns how long a shard must wait for the limits of its targets, behind the shards that
-// wait already. It is 0 if a target without a limit may serve it, or if no target may.
+// limitWait returns how long a shard must wait for the limits and pauses of its targets, behind the
+// shards that wait already. It is 0 if a target without either may serve it, or if no target may.
 func (e *Engine) limitWait(now clock.Instant, r *request, sh *shard) time.Duration {
-	tokens, rate, limited := 0.0, 0.0, false
+	tokens, rate := 0.0, 0.0
+	var wait time.Duration
+	limited, paused := false, false
 	for _, t := range sh.service.targets {
-		if !e.mayServe(r, sh, t) {
-			continue
-		}
-		if t.limit == nil {
+		pause := t.pausedUntil - now.Mono
+		switch {
+		case !e.mayServe(r, sh, t):
+		case pause > 0 && t.distance == otherRegion && e.forwarder(now, r, t) != nil:
+			return 0 // the pause is this host's alone
+		case pause > 0:
+			if !paused || pause < wait {
+				wait = pause
+			}
+			paused = true
+		case t.limit == nil:
 			return 0
+		default:
+			t.limit.fill(now.Mono)
+			tokens, rate, limited = tokens+math.Floor(t.limit.tokens), rate+t.limit.rate, true
 		}
-		t.limit.fill(now.Mono)
-		tokens, rate, limited = tokens+math.Floor(t.limit.tokens), rate+t.limit.rate, true
 	}
 	missing := float64(1+len(sh.service.waiting)) - tokens
 	switch {
-	case !limited || missing <= 0:
+	case limited && missing <= 0:
 		return 0
-	case rate <= 0:
+	case limited && rate > 0:
+		forTokens := time.Duration(missing / rate * float64(time.Second))
+		if !paused || forTokens < wait {
+			return forTokens
+		}
+	case limited && !paused:
 		return r.deadline - now.Mono
 	}
-	return time.Duration(missing / rate * float64(time.Second))
+	return wait
 }
 
 // limitPatience returns how long a shard may wait for a limit: a query until its parts are due, any
@@ -198,7 +213,7 @@
 // too many of its shards would have to wait longer than limitPatience. retryAfter is when there
 // should be room.
 func (e *Engine) overLimit(now clock.Instant, r *request) (retryAfter time.Duration, over bool) {
-	if len(e.limited) == 0 {
+	if len(e.restricted) == 0 {
 		return 0, false
 	}
 	if e.limitTurn != int64(now.Wall/limitTurn) {
--- a/internal/core/relay/notice_test.go
+++ b/internal/core/relay/notice_test.go
@@ -71,3 +71,57 @@
 		t.Errorf("the request ended with %v, want a refusal", a.Code)
 	}
 }
+
+// pausing returns the behavior of a target that turns requests away and wants none for a time.
+func pausing(retryAfter time.Duration) behavior {
+	return func(_ *simulation, s *Send) (*AttemptEnded, time.Duration) {
+		return &AttemptEnded{Outcome: Declined, Notice: Notice{RetryAfter: retryAfter}}, rtt(s) + time.Millisecond
+	}
+}
+
+// TestPauseOfTargetIsKept has the near replica of a service and of a shard ask for a pause. The other
+// replicas serve meanwhile; the near ones get requests again afterwards.
+func TestPauseOfTargetIsKept(t *testing.T) {
+	const pause = 3 * time.Second
+	sim := newSimulation(t, 4)
+	sim.warmUp()
+	sim.behaviors["one@z0"], sim.behaviors["s00@z0"] = pausing(pause), pausing(pause)
+	sim.wantCodeOf("/one/x", result.OK)
+	sim.wantCodeOf("/all/x", result.OK)
+	clear(sim.behaviors)
+	sim.sends = nil
+	for range 10 {
+		sim.submit("/one/x")
+		key := sim.submit("/all/x")
+		sim.advance(pause / 30)
+		if a := sim.answer(key); a.Code != result.OK || a.Missing > 0 {
+			t.Errorf("a query during the pause ended with %v, %d shards missing", a.Code, a.Missing)
+		}
+	}
+	if n := sim.sendsTo("one@z0") + sim.sendsTo("s00@z0"); n > 0 {
+		t.Errorf("targets that want a pause got %d requests", n)
+	}
+	sim.advance(pause)
+	for range 10 {
+		sim.wantCodeOf("/one/x", result.OK)
+	}
+	if n := sim.sendsTo("one@z0"); n == 0 {
+		t.Error("a target gets no requests after its pause")
+	}
+}
+
+// TestAllTargetsPause checks that requests for a service whose targets all want a pause are refused at
+// once, with the time after which to come again.
+func TestAllTargetsPause(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.warmUp()
+	sim.behaviors["one@z0"], sim.behaviors["one@z1"] = pausing(800*time.Millisecond), pausing(time.Minute)
+	sim.submit("/one/x")
+	sim.advance(100 * time.Millisecond)
+	sim.sends = nil
+	key := sim.submit("/one/x")
+	sim.wantCode(key, result.Shed)
+	if a := sim.answer(key); sim.elapsed[key] != 0 || a.RetryAfter < 500*time.Millisecond || a.RetryAfter > 1500*time.Millisecond || len(sim.sends) > 0 {
+		t.Errorf("refused after %v with %d attempts, retry after %v", sim.elapsed[key], len(sim.sends), a.RetryAfter)
+	}
+}
--- a/internal/core/relay/target.go
+++ b/internal/core/relay/target.go
@@ -73,6 +73,8 @@
 	limit *rateLimit
 	// leaving is set once a reply of the target has said that it leaves.
 	leaving bool
+	// pausedUntil is how long the target wants no requests from this host.
+	pausedUntil time.Duration
 }
 
 // draining reports whether the target takes no new requests, as its entry or a reply has said.
@@ -234,7 +236,7 @@
 			continue
 		}
 		eligible = true
-		full := len(t.open) >= t.quota || !t.limit.allows(now.Mono)
+		full := len(t.open) >= t.quota || !t.limit.allows(now.Mono) || now.Mono < t.pausedUntil
 		if full && e.forwarder(now, r, t) == nil || !t.allowCold(now.Mono, s, e.hosts, false) {
 			continue
 		}
