A host learns what was deleted while the peer that it follows was away

Cause: a peer sends what changed after the follower's revision. A deletion between the follower's last reply and the peer's first list is in neither: the peer never saw the item. Class: an incremental update from a source whose record begins later than the reader's state.

Change: a reply names the revision since which its sender knows of all deletions. If the follower's is older, it also has eight bytes for each item; what the follower has beside these and is not newer was deleted, also for its own followers. An older build ignores the fields and is ignored.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -119,9 +119,12 @@
 	removals map[string]time.Duration
 	// listedItems holds the items of the list in progress; listRevision is the revision of
 	// its first page.
-	listedItems   map[itemID]bool
-	listRevision  uint64
-	afterKey      string
+	listedItems  map[itemID]bool
+	listRevision uint64
+	afterKey     string
+	// knownSince is the revision since which this host knows of all deletions: that of its own
+	// list, or of a peer's.
+	knownSince    uint64
 	storeFailures int
 	// storeCoalesceDelay is the delay before the next watch of the store after changes.
 	storeCoalesceDelay time.Duration
@@ -235,7 +238,7 @@
 func (f *Follower) handleFailure(now clock.Instant, ev *CallFailed, fx *Effects) {
 	f.callInProgress = false
 	f.nextCallAt = now.Mono
-	fx.Progress = &Progress{Revision: f.view.Revision}
+	fx.Progress = &Progress{Revision: f.view.Revision, KnownSince: f.knownSince}
 	if f.current != storeSource {
 		f.peerLost = true
 		f.unavailableUntil[f.current] = now.Mono + peerRetryDelay
@@ -291,7 +294,7 @@
 		return
 	}
 	f.endList(now, fx)
-	fx.Progress = &Progress{Revision: f.view.Revision, Fresh: true}
+	fx.Progress = &Progress{Revision: f.view.Revision, Fresh: true, KnownSince: f.knownSince}
 }
 
 // endList deletes the items that the list no longer holds and switches to watching. Items
@@ -300,11 +303,12 @@
 	for key := range f.items {
 		it := f.items[key]
 		if !it.Deleted && it.Revision <= f.listRevision && !f.listedItems[itemID{it.Kind, it.Name}] {
-			f.markDeleted(now, &it, fx)
+			f.markDeleted(now, &it, f.listRevision, fx)
 		}
 	}
 	f.phase = watching
 	f.complete = true
+	f.knownSince = f.listRevision
 	f.storeCoalesceDelay = coalesceDelay // changes are likely while a fleet or its targets start
 	f.view.Revision = max(f.view.Revision, f.listRevision)
 	f.viewChanged = true
@@ -313,18 +317,18 @@
 	f.listedItems = nil
 }
 
-// markDeleted handles an item that is missing from the list as deleted, also for the peers
-// that follow this host. A missing configuration stays active.
-func (f *Follower) markDeleted(now clock.Instant, it *Item, fx *Effects) {
+// markDeleted handles an item that is missing from a list of the given revision as deleted, also
+// for the peers that follow this host. A missing configuration stays active.
+func (f *Follower) markDeleted(now clock.Instant, it *Item, revision uint64, fx *Effects) {
 	switch it.Kind {
 	case TargetItem:
-		f.scheduleRemoval(now, it.Name, f.listRevision)
+		f.scheduleRemoval(now, it.Name, revision)
 	case ZoneItem:
-		f.setZoneEvacuated(it.Name, false, f.listRevision, fx)
+		f.setZoneEvacuated(it.Name, false, revision, fx)
 	default:
 		return
 	}
-	deleted := Item{Key: it.Key, Kind: it.Kind, Name: it.Name, Revision: f.listRevision, Deleted: true}
+	deleted := Item{Key: it.Key, Kind: it.Kind, Name: it.Name, Revision: revision, Deleted: true}
 	f.items[it.Key] = deleted
 	fx.AppliedItems = append(fx.AppliedItems, deleted)
 }
@@ -335,7 +339,8 @@
 	if f.current != storeSource {
 		f.handlePeerReply(now, ev, stale)
 	}
-	fx.Progress = &Progress{Revision: max(f.view.Revision, ev.Revision), Fresh: !stale, Path: ev.Path}
+	f.applyKnownSince(now, ev, fx)
+	fx.Progress = &Progress{Revision: max(f.view.Revision, ev.Revision), Fresh: !stale, Path: ev.Path, KnownSince: f.knownSince}
 	for i := range ev.Items {
 		f.applyItem(now, &ev.Items[i], fx)
 	}
@@ -351,6 +356,31 @@
 	f.sourceVerified = !stale
 }
 
+// applyKnownSince handles the reply of a peer that does not know of the deletions between this
+// host's revision and KnownSince, because it has listed the store since: what it does not have any
+// more was deleted.
+func (f *Follower) applyKnownSince(now clock.Instant, ev *Changes, fx *Effects) {
+	if f.current == storeSource || ev.KnownSince <= f.view.Revision {
+		return
+	}
+	if f.view.Revision > 0 {
+		if !ev.HasLive {
+			return
+		}
+		live := make(map[uint64]bool, len(ev.Live))
+		for _, h := range ev.Live {
+			live[h] = true
+		}
+		for key := range f.items {
+			it := f.items[key]
+			if !it.Deleted && it.Revision <= ev.KnownSince && !live[KeyHash(key)] {
+				f.markDeleted(now, &it, ev.KnownSince, fx)
+			}
+		}
+	}
+	f.knownSince = max(f.knownSince, ev.KnownSince)
+}
+
 // coalesce returns the delay before the next watch of the current source.
 func (f *Follower) coalesce(changed bool) time.Duration {
 	switch {
--- a/internal/core/discovery/event.go
+++ b/internal/core/discovery/event.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pollentack.example/pollentack/internal/core/catalog"
 	"pollentack.example/pollentack/internal/core/decision"
 )
@@ -35,6 +37,9 @@
 	Value []byte
 }
 
+// KeyHash returns the hash by which hosts tell each other that an item exists.
+func KeyHash(key string) uint64 { return xxhash.Sum64String(key) }
+
 // Event is an input to the Follower.
 type Event interface{ event() }
 
@@ -57,6 +62,12 @@
 	Stale bool
 	// Path lists the hosts through which the peer gets its data, the peer first.
 	Path []string
+	// KnownSince is the revision since which the peer knows of all deletions, 0 if it did not
+	// say. If the watch began before it, Live holds the KeyHash of each item that the peer
+	// knows, and HasLive is set.
+	KnownSince uint64
+	Live       []uint64
+	HasLive    bool
 }
 
 // Sources lists the hosts to get data from in order of preference. This host's own name
@@ -113,6 +124,8 @@
 	Fresh bool
 	// Path lists the hosts through which the data came, empty for the store itself.
 	Path []string
+	// KnownSince is the revision since which this host knows of all deletions.
+	KnownSince uint64
 }
 
 // Reset empties the effects and keeps their memory for reuse.
--- a/internal/gateway/catalog.go
+++ b/internal/gateway/catalog.go
@@ -29,7 +29,9 @@
 	mu       sync.Mutex
 	items    map[string]discovery.Item
 	revision uint64
-	fresh    bool
+	// knownSince is the revision since which items holds all deletions.
+	knownSince uint64
+	fresh      bool
 	// path holds the names of the hosts through which this host receives changes of the store,
 	// beginning with its own.
 	path []string
@@ -57,6 +59,7 @@
 		changed = changed || p.Revision > c.revision || p.Fresh != c.fresh
 		c.revision = max(c.revision, p.Revision)
 		c.fresh = p.Fresh
+		c.knownSince = max(c.knownSince, p.KnownSince)
 		c.path = append([]string{c.self}, p.Path...)
 	}
 	if changed {
@@ -94,12 +97,16 @@
 func (c *catalogServer) since(after uint64) (*wire.CatalogReply, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	reply := &wire.CatalogReply{Revision: c.revision, Fresh: c.fresh, Path: c.path}
+	reply := &wire.CatalogReply{Revision: c.revision, Fresh: c.fresh, Path: c.path, KnownSince: c.knownSince}
+	reply.HasLive = after > 0 && after < c.knownSince
 	var items []discovery.Item
-	for _, it := range c.items {
+	for key, it := range c.items {
 		if it.Revision > after {
 			items = append(items, it)
 		}
+		if reply.HasLive && !it.Deleted {
+			reply.Live = append(reply.Live, discovery.KeyHash(key))
+		}
 	}
 	slices.SortFunc(items, func(a, b discovery.Item) int {
 		if a.Revision < b.Revision {
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -118,7 +118,10 @@
 	if err != nil {
 		return &discovery.CallFailed{Reason: err.Error()}
 	}
-	ev := &discovery.Changes{Revision: reply.GetRevision(), Stale: !reply.GetFresh(), Path: reply.GetPath()}
+	ev := &discovery.Changes{
+		Revision: reply.GetRevision(), Stale: !reply.GetFresh(), Path: reply.GetPath(),
+		KnownSince: reply.GetKnownSince(), Live: reply.GetLive(), HasLive: reply.GetHasLive(),
+	}
 	for _, it := range reply.GetItems() {
 		ev.Items = append(ev.Items, d.decode(it.GetKey(), it.GetValue(), it.GetRevision(), it.GetDeleted()))
 	}
