--- a/internal/core/discovery/silent_test.go
+++ b/internal/core/discovery/silent_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -22,14 +23,14 @@
 func newSettledClusterOf(seed uint64, near ...string) (*cluster, []string) {
 	far := []string{"far1", "far2"}
 	cl := newCluster()
-	for i, name := range append(near, far...) {
-		sources := append(append([]string{}, near...), far...)
+	names := slices.Concat(near, far)
+	for i, name := range names {
+		sources := names
 		if i >= len(near) {
-			sources = append(append([]string{}, far...), near[:2]...)
+			sources = slices.Concat(far, near[:2])
 		}
 		cl.start(name, seed+uint64(i)*1000, sources)
 	}
-	names := append(near, far...)
 	cl.advance(5*time.Second, names)
 	return cl, names
 }
--- a/internal/core/relay/limit.go
+++ b/internal/core/relay/limit.go
@@ -164,40 +164,58 @@
 // limitWait returns how long a shard must wait for the limits and pauses of its targets, behind the
 // shards that wait already. It is 0 if a target without either may serve it, or if no target may.
 func (e *Engine) limitWait(now clock.Instant, r *request, sh *shard) time.Duration {
-	tokens, rate := 0.0, 0.0
-	var wait time.Duration
-	limited, paused := false, false
+	room := limitedRoom{wait: r.deadline - now.Mono}
+	usable := false
 	for _, t := range sh.service.targets {
-		pause := t.pausedUntil - now.Mono
-		switch {
-		case !e.mayServe(r, sh, t):
-		case pause > 0 && t.distance == otherRegion && e.forwarder(now, r, t) != nil:
-			return 0 // the pause is this host's alone
-		case pause > 0:
-			if !paused || pause < wait {
-				wait = pause
-			}
-			paused = true
-		case t.limit == nil:
+		if !e.mayServe(r, sh, t) {
+			continue
+		}
+		usable = true
+		// The pause of a target that a peer forwards to is this host's alone.
+		if room.add(now.Mono, t) || e.forwarder(now, r, t) != nil {
 			return 0
-		default:
-			t.limit.fill(now.Mono)
-			tokens, rate, limited = tokens+math.Floor(t.limit.tokens), rate+t.limit.rate, true
 		}
 	}
-	missing := float64(1+len(sh.service.waiting)) - tokens
+	if !usable {
+		return 0
+	}
+	return room.waitFor(1 + len(sh.service.waiting))
+}
+
+// limitedRoom is the room that the limits and pauses of a service's targets leave.
+type limitedRoom struct {
+	// tokens and rate are those of the targets with a limit, in requests and requests per
+	// second.
+	tokens, rate float64
+	// wait is the time until the first pause ends.
+	wait time.Duration
+}
+
+// add adds a target, and reports whether it has neither a limit nor a pause.
+func (l *limitedRoom) add(now time.Duration, t *target) (free bool) {
+	switch pause := t.pausedUntil - now; {
+	case pause > 0:
+		l.wait = min(l.wait, pause)
+	case t.limit == nil:
+		return true
+	default:
+		t.limit.fill(now)
+		l.tokens += math.Floor(t.limit.tokens)
+		l.rate += t.limit.rate
+	}
+	return false
+}
+
+// waitFor returns how long it takes until there is room for n requests.
+func (l *limitedRoom) waitFor(n int) time.Duration {
+	missing := float64(n) - l.tokens
 	switch {
-	case limited && missing <= 0:
+	case missing <= 0:
 		return 0
-	case limited && rate > 0:
-		forTokens := time.Duration(missing / rate * float64(time.Second))
-		if !paused || forTokens < wait {
-			return forTokens
-		}
-	case limited && !paused:
-		return r.deadline - now.Mono
+	case l.rate <= 0:
+		return l.wait
 	}
-	return wait
+	return min(l.wait, time.Duration(missing/l.rate*float64(time.Second)))
 }
 
 // limitPatience returns how long a shard may wait for a limit: a query until its parts are due, any
--- a/internal/core/relay/reply.go
+++ b/internal/core/relay/reply.go
@@ -40,33 +40,49 @@
 	if !ev.PeerFailed {
 		e.observe(now, a, ev)
 	}
-	if a.via == nil && (ev.Outcome == Answered || ev.Outcome == Declined) {
-		e.observeNotice(now, a, &ev.Notice, fx)
+	e.settleAttempt(a, ev)
+	if a.via == nil {
+		e.observeReply(now, a, ev, fx)
+	}
+	if ev.Outcome == Answered {
+		e.recordAnswer(now, r, fx)
 	}
+	if !r.ended {
+		e.applyOutcome(now, r, sh, a, ev, fx)
+	}
+	e.dispatchWaiting(now, sh.service, fx)
+}
+
+// settleAttempt updates the counts of attempts and returns the tokens of one that did not reach its
+// target.
+func (e *Engine) settleAttempt(a *attempt, ev *AttemptEnded) {
+	sh := &a.request.shards[a.shard]
 	if ev.Outcome.NotRun() {
 		sh.ran--
 	} else {
-		r.ran = true
+		a.request.ran = true
 	}
-	if !ev.Outcome.MayHaveArrived() {
-		sh.delivered--
-		if a.via == nil {
-			a.target.limit.refund()
-		}
-		if a.extra {
-			sh.service.budget.refund()
-		}
+	if ev.Outcome.MayHaveArrived() {
+		return
 	}
-	switch {
-	case ev.Outcome == Answered:
-		e.recordAnswer(now, r, fx)
-	case ev.Outcome == Lost && a.via == nil:
-		e.checkTarget(now, a, fx)
+	sh.delivered--
+	if a.via == nil {
+		a.target.limit.refund()
 	}
-	if !r.ended {
-		e.applyOutcome(now, r, sh, a, ev, fx)
+	if a.extra {
+		sh.service.budget.refund()
+	}
+}
+
+// observeReply applies what a target that this host sent the attempt to said of itself, or has it
+// checked if it lost the connection.
+func (e *Engine) observeReply(now clock.Instant, a *attempt, ev *AttemptEnded, fx *Effects) {
+	switch ev.Outcome {
+	case Answered, Declined:
+		e.observeNotice(now, a, &ev.Notice, fx)
+	case Lost:
+		e.checkTarget(now, a, fx)
 	}
-	e.dispatchWaiting(now, sh.service, fx)
 }
 
 // observe updates the state of a target from the outcome of an attempt.
--- a/internal/core/relay/target.go
+++ b/internal/core/relay/target.go
@@ -223,7 +223,7 @@
 	if t.removed || t.draining() || e.view.EvacuatedZones[t.spec.Zone] || !r.route.AllowsRegion(t.region) {
 		return false
 	}
-	return !sh.excludes(t) && !(r.isDirect() && t.distance == otherRegion)
+	return !sh.excludes(t) && (!r.isDirect() || t.distance != otherRegion)
 }
 
 // chooseTarget returns the best target of the service that has capacity for the request, or
