A request that targets answer is not taken for one that crashes them

Cause: the target of a query that ran alone was crashed by the other request at that moment, once was enough, and a conviction could not be taken back. Class: a verdict from one coincidence, without a way to refute it.

Change: a conviction needs two crashes under requests that ran alone, and is derived from the crashes that count, so that an answer on any host refutes it everywhere. A host that saw a request answered in the last five to ten minutes heeds only three crashes of its own without an answer.

--- a/internal/core/quarantine/suspects.go
+++ b/internal/core/quarantine/suspects.go
@@ -11,9 +11,14 @@
 	// CrashesToSuspect is the number of targets that must have crashed under requests with one
 	// fingerprint, none of which was answered, for the next one to run alone.
 	CrashesToSuspect = 2
-	// CrashesToConvict is the number of crashes after which a crash under a request that ran
-	// alone convicts its fingerprint.
-	CrashesToConvict = 3
+	// CrashesToConvict is the number of crashes that convict a fingerprint, if at least
+	// crashesAloneToConvict of them happened under requests that ran alone. One may be a
+	// coincidence: targets also crash for other reasons, and others may crash them.
+	CrashesToConvict      = 3
+	crashesAloneToConvict = 2
+	// cleanTolerance is the number of crashes since the last answer after which a fingerprint
+	// that was answered lately may be suspect again.
+	cleanTolerance = 3
 	// maxCrashes bounds the crashes that are kept of a fingerprint, and those that do not count.
 	maxCrashes = 16
 )
@@ -25,12 +30,12 @@
 // merged in any order, repeatedly.
 type CrashFact struct {
 	Fingerprint Fingerprint
-	// Crashes are the crashes of targets while they ran a request with the fingerprint. Refuted
-	// are those that do not count, because a target has answered such a request since.
+	// Crashes are the crashes of targets while they ran a request with the fingerprint, Alone
+	// those of them under requests that ran alone. Refuted are those that do not count, because
+	// a target has answered such a request since.
 	Crashes []CrashID
+	Alone   []CrashID
 	Refuted []CrashID
-	// Convicted states that requests with the fingerprint must not run.
-	Convicted bool
 	// Age is the time since a host last saw something new.
 	Age time.Duration
 }
@@ -42,6 +47,10 @@
 	// the last crash.
 	SuspectFor time.Duration
 	ConvictFor time.Duration
+	// CleanFor is how long, at least, and MaxClean how many fingerprints that were answered are
+	// remembered.
+	CleanFor time.Duration
+	MaxClean int
 }
 
 // Suspects holds the fingerprints under which targets crashed, as this host and others saw it.
@@ -52,87 +61,124 @@
 type Suspects struct {
 	cfg     SuspectsConfig
 	entries map[Fingerprint]*suspect
+	// clean holds the fingerprints that were answered lately, with the crashes since. Those in
+	// previous are older than those in clean, and are forgotten at the next rotation.
+	clean, previous map[Fingerprint]int
+	rotatedAt       time.Duration
 }
 
 type suspect struct {
 	crashes   []CrashID
+	alone     []CrashID
 	refuted   []CrashID
-	convicted bool
 	changedAt time.Duration
 }
 
 // NewSuspects returns an empty Suspects.
 func NewSuspects(cfg SuspectsConfig) *Suspects {
-	return &Suspects{cfg: cfg, entries: map[Fingerprint]*suspect{}}
+	return &Suspects{cfg: cfg, entries: map[Fingerprint]*suspect{}, clean: map[Fingerprint]int{}, previous: map[Fingerprint]int{}}
 }
 
 // Len returns the number of fingerprints.
 func (s *Suspects) Len() int { return len(s.entries) }
 
-// counted returns the number of crashes that count.
-func (e *suspect) counted() int {
-	n := 0
-	for _, c := range e.crashes {
-		if !slices.Contains(e.refuted, c) {
-			n++
-		}
-	}
-	return n
+// convicted reports whether requests with the fingerprint must not run.
+func (e *suspect) convicted() bool {
+	return len(e.alone) >= crashesAloneToConvict && len(e.crashes) >= CrashesToConvict
 }
 
-// Crashes returns the number of crashes that count against the fingerprint.
+// Crashes returns the number of crashes that count against the fingerprint: none if this host saw
+// it answered lately.
 func (s *Suspects) Crashes(now time.Duration, f Fingerprint) int {
-	if e := s.lookup(now, f); e != nil {
-		return e.counted()
+	e := s.lookup(now, f)
+	if e == nil || s.isClean(now, f) {
+		return 0
 	}
-	return 0
+	return len(e.crashes)
 }
 
 // Convicted reports whether requests with the fingerprint must not run, and for how much longer.
 func (s *Suspects) Convicted(now time.Duration, f Fingerprint) (remaining time.Duration, convicted bool) {
 	e := s.lookup(now, f)
-	if e == nil || !e.convicted {
+	if e == nil || !e.convicted() || s.isClean(now, f) {
 		return 0, false
 	}
 	return s.expiry(e) - now, true
 }
 
+// isClean reports whether this host saw the fingerprint answered lately.
+func (s *Suspects) isClean(now time.Duration, f Fingerprint) bool {
+	s.rotateClean(now)
+	if _, ok := s.clean[f]; ok {
+		return true
+	}
+	_, ok := s.previous[f]
+	return ok
+}
+
+// rotateClean forgets the older of the fingerprints that were answered, if it is time.
+func (s *Suspects) rotateClean(now time.Duration) {
+	if len(s.clean) < s.cfg.MaxClean && now-s.rotatedAt < s.cfg.CleanFor {
+		return
+	}
+	s.clean, s.previous = map[Fingerprint]int{}, s.clean
+	s.rotatedAt = now
+}
+
+// countCleanCrash counts a crash against a fingerprint that was answered lately, and reports whether
+// it is to be ignored.
+func (s *Suspects) countCleanCrash(now time.Duration, f Fingerprint) (ignored bool) {
+	if !s.isClean(now, f) {
+		return false
+	}
+	n := max(s.clean[f], s.previous[f]) + 1
+	if n < cleanTolerance {
+		s.clean[f] = n
+		return true
+	}
+	delete(s.clean, f)
+	delete(s.previous, f)
+	return false
+}
+
 // RecordCrash records that a target crashed while it ran a request with the fingerprint. alone
 // states that the request was suspect and ran nowhere else. It reports whether this is news.
 func (s *Suspects) RecordCrash(now time.Duration, f Fingerprint, crash CrashID, alone bool) bool {
-	e := s.lookupOrCreate(now, f)
-	convicted := e.convicted
-	added := addCrash(&e.crashes, crash)
-	e.convicted = e.convicted || alone && e.counted() >= CrashesToConvict
-	if !added && e.convicted == convicted {
+	if s.countCleanCrash(now, f) {
 		return false
 	}
-	e.changedAt = now
-	return true
+	e := s.lookupOrCreate(now, f)
+	news := addCrash(&e.crashes, crash)
+	if alone {
+		news = addCrash(&e.alone, crash) || news
+	}
+	if news {
+		e.changedAt = now
+	}
+	return news
 }
 
 // RecordAnswer records that a target answered a request with the fingerprint: the crashes so far
-// have another cause. It reports whether this is news.
+// have another cause. It reports whether this is news to other hosts.
 func (s *Suspects) RecordAnswer(now time.Duration, f Fingerprint) bool {
+	s.rotateClean(now)
+	s.clean[f] = 0
 	e := s.lookup(now, f)
-	if e == nil || e.convicted || e.counted() == 0 {
+	if e == nil || len(e.crashes) == 0 {
 		return false
 	}
 	for _, c := range e.crashes {
 		addCrash(&e.refuted, c)
 	}
-	e.crashes = nil
+	e.crashes, e.alone = nil, nil
 	e.changedAt = now
 	return true
 }
 
 // Merge adds what another host knows. It reports whether this is news.
 func (s *Suspects) Merge(now time.Duration, fact *CrashFact) bool {
-	retention := s.cfg.SuspectFor
-	if fact.Convicted {
-		retention = s.cfg.ConvictFor
-	}
-	if fact.Age < 0 || fact.Age >= retention {
+	told := suspect{crashes: fact.Crashes, alone: fact.Alone, changedAt: now - fact.Age}
+	if fact.Age < 0 || now >= s.expiry(&told) {
 		return false
 	}
 	e := s.lookupOrCreate(now, fact.Fingerprint)
@@ -140,13 +186,14 @@
 	for _, c := range fact.Refuted {
 		news = addCrash(&e.refuted, c) || news
 	}
+	isRefuted := func(c CrashID) bool { return slices.Contains(e.refuted, c) }
+	e.crashes = slices.DeleteFunc(e.crashes, isRefuted)
+	e.alone = slices.DeleteFunc(e.alone, isRefuted)
 	for _, c := range fact.Crashes {
-		if !slices.Contains(e.refuted, c) {
-			news = addCrash(&e.crashes, c) || news
-		}
+		news = !isRefuted(c) && addCrash(&e.crashes, c) || news
 	}
-	if fact.Convicted && !e.convicted {
-		e.convicted, news = true, true
+	for _, c := range fact.Alone {
+		news = !isRefuted(c) && addCrash(&e.alone, c) || news
 	}
 	if news {
 		e.changedAt = max(e.changedAt, now-fact.Age)
@@ -161,8 +208,8 @@
 		return CrashFact{}, false
 	}
 	return CrashFact{
-		Fingerprint: f, Crashes: slices.Clone(e.crashes), Refuted: slices.Clone(e.refuted),
-		Convicted: e.convicted, Age: now - e.changedAt,
+		Fingerprint: f, Crashes: slices.Clone(e.crashes), Alone: slices.Clone(e.alone), Refuted: slices.Clone(e.refuted),
+		Age: now - e.changedAt,
 	}, true
 }
 
@@ -175,7 +222,7 @@
 }
 
 func (s *Suspects) expiry(e *suspect) time.Duration {
-	if e.convicted {
+	if e.convicted() {
 		return e.changedAt + s.cfg.ConvictFor
 	}
 	return e.changedAt + s.cfg.SuspectFor
@@ -215,8 +262,8 @@
 	var victim Fingerprint
 	var oldest *suspect
 	for f, e := range s.entries {
-		older := oldest == nil || !e.convicted && oldest.convicted ||
-			e.convicted == oldest.convicted && (e.changedAt < oldest.changedAt || e.changedAt == oldest.changedAt && f < victim)
+		older := oldest == nil || !e.convicted() && oldest.convicted() ||
+			e.convicted() == oldest.convicted() && (e.changedAt < oldest.changedAt || e.changedAt == oldest.changedAt && f < victim)
 		if older {
 			victim, oldest = f, e
 		}
--- a/internal/core/relay/crash.go
+++ b/internal/core/relay/crash.go
@@ -17,8 +17,9 @@
 // connection alone does not show it: targets reset connections for other reasons. So a target that
 // loses a connection is checked whether it still listens. A request under which targets crash and
 // that none of them answers is suspect: it is not repeated, and the next request with its
-// fingerprint runs alone, at one target at a time, until one answers. A crash under such a request
-// convicts the fingerprint. Hosts tell each other what they see.
+// fingerprint runs alone, at one target at a time, until one answers. Crashes under such requests
+// convict the fingerprint, unless this host saw it answered lately. Hosts tell each other what they
+// see.
 
 const (
 	// maxSuspects bounds the fingerprints that are kept.
@@ -26,6 +27,10 @@
 	// suspectFor is how long a crash counts, and convictFor how long a conviction lasts.
 	suspectFor = 2 * time.Minute
 	convictFor = 10 * time.Minute
+	// cleanFor is how long it is remembered that a request was answered, and maxClean of how
+	// many.
+	cleanFor = 5 * time.Minute
+	maxClean = 8192
 	// checkPatience is how long a request is not repeated because a target is being checked.
 	checkPatience = 150 * time.Millisecond
 	// tellDelay collects the news of a crash, which takes several requests at once, into one
@@ -93,7 +98,7 @@
 
 func newCrashWatch() crashWatch {
 	return crashWatch{
-		suspects: quarantine.NewSuspects(quarantine.SuspectsConfig{MaxEntries: maxSuspects, SuspectFor: suspectFor, ConvictFor: convictFor}),
+		suspects: quarantine.NewSuspects(quarantine.SuspectsConfig{MaxEntries: maxSuspects, SuspectFor: suspectFor, ConvictFor: convictFor, CleanFor: cleanFor, MaxClean: maxClean}),
 		checks:   map[CheckID]*check{},
 		alone:    map[quarantine.Fingerprint]int{},
 	}
@@ -261,7 +266,7 @@
 	}
 	solo := r.runsAlone()
 	r.answered = true
-	if e.crash.suspects.Len() > 0 && e.crash.suspects.RecordAnswer(now.Mono, r.fingerprint()) {
+	if e.crash.suspects.RecordAnswer(now.Mono, r.fingerprint()) {
 		fx.Records = append(fx.Records, decision.New("suspect_cleared",
 			decision.String("request", r.ID), decision.String("fingerprint", r.fingerprint().String())))
 		e.tellLater(now, r.fingerprint())
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -92,7 +92,7 @@
 		f := &facts[i]
 		out.Facts[i] = &CrashFact{
 			Fingerprint: uint64(f.Fingerprint), Crashes: fromCrashIDs(f.Crashes), Refuted: fromCrashIDs(f.Refuted),
-			Convicted: f.Convicted, Age: int64(f.Age),
+			Alone: fromCrashIDs(f.Alone), Age: int64(f.Age),
 		}
 	}
 	return out
@@ -104,7 +104,7 @@
 	for i, f := range x.GetFacts() {
 		out[i] = quarantine.CrashFact{
 			Fingerprint: quarantine.Fingerprint(f.GetFingerprint()), Crashes: toCrashIDs(f.GetCrashes()), Refuted: toCrashIDs(f.GetRefuted()),
-			Convicted: f.GetConvicted(), Age: time.Duration(f.GetAge()),
+			Alone: toCrashIDs(f.GetAlone()), Age: time.Duration(f.GetAge()),
 		}
 	}
 	return out
