Soak: a request that crashes targets, and notices in replies

Faulty targets may also name a limit or a pause, or something that is neither. TestSoakInvariantsDetectViolations breaks the new promise.

--- a/cmd/pollentack/soak_test.go
+++ b/cmd/pollentack/soak_test.go
@@ -40,6 +40,10 @@
 	// soakFaultGrace is the time after a kill or a pause of a host in which its requests
 	// may be lost.
 	soakFaultGrace = 5 * time.Second
+	// soakCrashMarker marks the path of the request that crashes each target that runs it, and
+	// soakCrashInterval is the time between its copies.
+	soakCrashMarker   = "crashes-targets"
+	soakCrashInterval = 400 * time.Millisecond
 )
 
 // soakSeeds are the seeds that CI runs.
@@ -124,6 +128,9 @@
 	if notServing := s.awaitServing(soakRecoveryTimeout + time.Duration(hosts)*200*time.Millisecond); len(notServing) > 0 {
 		t.Fatalf("hosts %v do not serve", notServing)
 	}
+	for _, t := range s.site.Targets {
+		t.CrashOn(soakCrashMarker, s.faultDuration(), func() { s.site.Store.Put(t.StoreKey(), t.Registration("ready")) })
+	}
 	s.started = time.Now()
 	s.observed.published = []publishedVersion{{version: 1, at: s.started.Add(-soakConfigBound), undisturbedUntil: s.started.Add(soakPlannedPhase)}}
 	s.runPhases()
@@ -139,6 +146,8 @@
 		rng := rand.New(rand.NewPCG(s.rng.Uint64(), 1))
 		callers.Go(func() { s.runCaller(ctx, caller, rng) })
 	}
+	crashRNG := rand.New(rand.NewPCG(s.rng.Uint64(), 3))
+	callers.Go(func() { s.runCrashingCaller(ctx, crashRNG) })
 	planRNG := rand.New(rand.NewPCG(s.rng.Uint64(), 2))
 	var planned sync.WaitGroup
 	planned.Go(func() { s.makePlannedChanges(planRNG) })
@@ -158,7 +167,7 @@
 	for _, t := range s.site.Targets {
 		s.observed.targets = append(s.observed.targets, targetRecord{
 			instance: t.Instance, service: t.Service, zone: t.Zone, body: string(t.Body),
-			runs: t.Runs(), arrivals: t.Arrivals(), peakConnections: t.MaxOpenConnections(),
+			runs: t.Runs(), arrivals: t.Arrivals(), peakConnections: t.MaxOpenConnections(), crashes: t.Crashes(),
 		})
 	}
 	violations := s.observed.violations()
@@ -368,3 +377,20 @@
 		time.Sleep(time.Duration(rng.IntN(10)) * time.Millisecond)
 	}
 }
+
+// runCrashingCaller sends a request that crashes the targets that run it again and again, to random
+// hosts. The ID of a copy that a host without recent faults gets begins with soakCrashMarker.
+func (s *soak) runCrashingCaller(ctx context.Context, rng *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{}, Timeout: 5 * time.Second}
+	defer client.CloseIdleConnections()
+	for i := 0; ctx.Err() == nil; i++ {
+		host := rng.IntN(len(s.processes))
+		id := fmt.Sprintf("%s-%d", soakCrashMarker, i)
+		if !s.healthy(host) {
+			id = "beside-faults-" + id
+		}
+		// The answer does not matter: a failure, or a refusal once the request is held back.
+		_, _ = platformtest.SendRequest(client, s.site.FrontAddresses[host], http.MethodGet, "/search/"+soakCrashMarker, id, soakDeadline)
+		time.Sleep(soakCrashInterval)
+	}
+}
--- a/cmd/pollentack/soakfaults_test.go
+++ b/cmd/pollentack/soakfaults_test.go
@@ -77,12 +77,16 @@
 		platformtest.BehaviorEndlessStatusLine, platformtest.BehaviorEndlessHeaderLine, platformtest.BehaviorEndlessHeader,
 		platformtest.BehaviorEndlessInterim, platformtest.BehaviorEndlessBody, platformtest.BehaviorEndlessChunks, platformtest.BehaviorEndlessTrailer,
 	}
+	notices := []string{"", "", "Retry-After: 0.7\r\n", "Server-Limit: 6.5\r\n", "Server-Limit: none\r\nRetry-After: soon\r\n"}
 	target, behavior, d := s.randomTarget(), behaviors[s.rng.IntN(len(behaviors))], s.faultDuration()
+	notice := notices[s.rng.IntN(len(notices))]
 	return func() {
-		s.logAction("%s behavior %s for %v", target.Instance, behavior, d)
+		s.logAction("%s behavior %s, notice %q for %v", target.Instance, behavior, notice, d)
 		target.SetBehavior(behavior)
+		target.SetNotice(notice)
 		time.Sleep(d)
 		target.SetBehavior(platformtest.BehaviorNormal)
+		target.SetNotice("")
 	}
 }
 
--- a/cmd/pollentack/soakinvariants_test.go
+++ b/cmd/pollentack/soakinvariants_test.go
@@ -23,6 +23,10 @@
 	soakDeadlineSlack   = 500 * time.Millisecond
 	soakRetryWindow     = 10 * time.Second
 	soakRecoveryTimeout = 12 * time.Second
+	// Once a request has crashed soakCrashesAllowed targets, it may do so that often again later
+	// than soakCrashWindow after.
+	soakCrashesAllowed = 3
+	soakCrashWindow    = 5 * time.Second
 )
 
 // requestRecord is one request of a caller with its outcome.
@@ -45,7 +49,7 @@
 type targetRecord struct {
 	instance, service, zone, body string
 	runs                          []platformtest.Run
-	arrivals                      []platformtest.Arrival
+	arrivals, crashes             []platformtest.Arrival
 	peakConnections               int
 }
 
@@ -94,6 +98,7 @@
 	{"retries stay within the budget", (*observations).checkRetryBudget},
 	{"connections stay under the limit", (*observations).checkConnections},
 	{"targets receive at most the remaining time", (*observations).checkDeadlines},
+	{"requests that crash targets are held back", (*observations).checkCrashes},
 	{"all hosts recover", (*observations).checkRecovery},
 }
 
@@ -376,6 +381,30 @@
 	return found
 }
 
+// checkCrashes counts the crashes later than soakCrashWindow after the third, through hosts without
+// recent faults.
+func (o *observations) checkCrashes() []string {
+	var crashes []platformtest.Arrival
+	for i := range o.targets {
+		crashes = append(crashes, o.targets[i].crashes...)
+	}
+	slices.SortFunc(crashes, func(a, b platformtest.Arrival) int { return a.At.Compare(b.At) })
+	if len(crashes) <= soakCrashesAllowed {
+		return nil
+	}
+	var found []string
+	known := crashes[soakCrashesAllowed-1].At.Add(soakCrashWindow)
+	for _, c := range crashes {
+		if c.At.After(known) && strings.HasPrefix(c.ID, soakCrashMarker) {
+			found = append(found, fmt.Sprintf("%s crashed a target %v after the third crash", c.ID, c.At.Sub(known)+soakCrashWindow))
+		}
+	}
+	if len(found) <= soakCrashesAllowed {
+		return nil
+	}
+	return found
+}
+
 func (o *observations) checkRecovery() []string {
 	if len(o.unrecovered) == 0 {
 		return nil
--- a/cmd/pollentack/soakselftest_test.go
+++ b/cmd/pollentack/soakselftest_test.go
@@ -64,6 +64,12 @@
 		"evacuated zones receive no requests": func(o *observations) {
 			o.evacuated = []interval{{name: "a", from: start.Add(-soakEvacuateBound - time.Second), to: start.Add(time.Second)}}
 		},
+		"requests that crash targets are held back": func(o *observations) {
+			for i := range 2*soakCrashesAllowed + 1 {
+				at := start.Add(time.Duration(i/soakCrashesAllowed) * 2 * soakCrashWindow)
+				o.targets[0].crashes = append(o.targets[0].crashes, platformtest.Arrival{ID: soakCrashMarker, At: at})
+			}
+		},
 		"the configuration takes effect in time": func(o *observations) {
 			o.published = append(o.published, publishedVersion{version: 2, at: start.Add(-soakConfigBound - time.Second), undisturbedUntil: start.Add(time.Minute)})
 		},
