A limit of zero is asked about now and then

Cause: a target that names a limit of 0 would get no request from any host again, so that none would see it lifted. Found by reading. Change: hosts use at least 0.2 a second together, which the rule's slack of five in four seconds covers. Evidence: TestLiftedLimit with a limit of 0 fails before and holds.

--- a/internal/core/relay/limit.go
+++ b/internal/core/relay/limit.go
@@ -26,6 +26,9 @@
 	// more hosts, the single requests that each may send at any time would add up to more than
 	// the limit.
 	hostsPerLimit = 2
+	// minLimit is the least limit that hosts use, in requests per second: a target that accepts
+	// none is asked now and then whether it still does not.
+	minLimit = 0.2
 	// limitTurn is how long the same hosts share a small limit. Each host gets its turn, also to
 	// see whether the target still names a limit.
 	limitTurn = 10 * time.Second
@@ -117,12 +120,13 @@
 	l := t.limit
 	l.fill(now.Mono)
 	hosts := e.connectingHosts(t.spec.Service, t.region)
-	sharers := max(1, int(hostsPerLimit*l.perSecond))
+	limit := max(l.perSecond, minLimit)
+	sharers := max(1, int(hostsPerLimit*limit))
 	switch {
 	case sharers >= hosts || len(e.members) == 0:
-		l.rate = l.perSecond / float64(max(1, hosts))
+		l.rate = limit / float64(max(1, hosts))
 	case e.isLimitSharer(t, sharers):
-		l.rate = l.perSecond / float64(sharers)
+		l.rate = limit / float64(sharers)
 	default:
 		l.rate, l.tokens = 0, 0
 	}
