The wait of a peer's watch follows from the bound on changes too

Cause: the wait of 1 s fits a bound of 4 s; where it is longer, as on the larger deployments and at the size to come, followers called their source more often than the bound needs, 300 a second at 300 followers. Change: it is what the bound leaves after the delay before it, its margin and the removal delay of a target, 1.1 s of 4 s and at most 3.5 s.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// maxWatchWait and minWatchWait bound the wait of a watch of the store, which follows from
+	// maxWatchWait and minWatchWait bound the wait of a watch, which follows from
 	// Config.ApplyBound. If the store has lost the watch, or the connection was lost without
 	// notice, the host detects this only when the call times out.
 	maxWatchWait = 3500 * time.Millisecond
@@ -28,9 +28,9 @@
 	// failoverTime is the part of Config.ApplyBound that is left to get a change from another
 	// source: two calls that time out and some that are answered.
 	failoverTime = time.Second
-	// peerWatchWait is the wait of a watch of a peer. Such a watch costs the store no call, and
-	// a peer that falls silent must be noticed long before Config.ApplyBound is over.
-	peerWatchWait = time.Second
+	// minPeerWatchWait is the least wait of a watch of a peer, which follows from
+	// Config.ApplyBound too.
+	minPeerWatchWait = time.Second
 	// storeReplyMargin and peerReplyMargin are how long after its wait a call may take. Store
 	// and peers reply within milliseconds. firstReplyMargin is the margin of the first call to
 	// a peer, whose reply holds the whole catalog.
--- a/internal/core/discovery/source.go
+++ b/internal/core/discovery/source.go
@@ -81,7 +81,8 @@
 	case f.current == storeSource && (f.storeFailures > 0 || f.peerLost), f.current != storeSource && !f.sourceVerified:
 		return 0
 	case f.current != storeSource:
-		return peerWatchWait
+		// A target whose entry is gone stays in use for removalDelay more.
+		return min(max(f.cfg.ApplyBound-coalesceDelay-peerReplyMargin-removalDelay, minPeerWatchWait), maxWatchWait)
 	case f.sources[0] != storeSource:
 		return fallbackWatchWait
 	}
