A changed bound on applying changes is reported as needing a start

Cause: found reading the diff. The bound is read when the host starts; after a SIGHUP that changes it, settings_in_force said that no start was needed.

--- a/internal/core/quarantine/suspects.go
+++ b/internal/core/quarantine/suspects.go
@@ -47,8 +47,8 @@
 	// the last crash.
 	SuspectFor time.Duration
 	ConvictFor time.Duration
-	// CleanFor is how long, at least, and MaxClean how many fingerprints that were answered are
-	// remembered.
+	// CleanFor is how long an answered fingerprint is remembered at least, unless more than
+	// MaxClean others were answered since.
 	CleanFor time.Duration
 	MaxClean int
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -42,10 +42,11 @@
 	host, zone, region string
 	listen             ListenAddresses
 	store              string
+	applyBound         time.Duration
 }
 
 func (s *Settings) static() staticSettings {
-	return staticSettings{host: s.Host, zone: s.Zone, region: s.Region, listen: s.Listen, store: s.Store}
+	return staticSettings{host: s.Host, zone: s.Zone, region: s.Region, listen: s.Listen, store: s.Store, applyBound: s.ApplyBound}
 }
 
 // ListenAddresses holds the addresses that the gateway listens on.
