A host that starts asks its peers which requests crash targets

Cause: a peer told it at its next turn only, one random peer a second each. Change: a host asks the first three peers that it finds, and they answer with what they know.

--- a/internal/core/relay/crash.go
+++ b/internal/core/relay/crash.go
@@ -42,6 +42,8 @@
 	// maxDirectPeers is the number of peers that are told of news at once. In a larger fleet
 	// they pass it on.
 	maxDirectPeers = 16
+	// peersToAsk is the number of peers that a host which has started asks what they know.
+	peersToAsk = 3
 	// maxFactsPerMessage bounds the fingerprints in one message.
 	maxFactsPerMessage = 64
 )
@@ -67,10 +69,17 @@
 type Tell struct {
 	Peer  string
 	Facts []quarantine.CrashFact
+	// Ask asks the peer to tell what it knows.
+	Ask bool
 }
 
 // FactsReceived reports what a peer knows about crashes.
-type FactsReceived struct{ Facts []quarantine.CrashFact }
+type FactsReceived struct {
+	From  string
+	Facts []quarantine.CrashFact
+	// Ask states that the peer asks what this host knows.
+	Ask bool
+}
 
 func (*TargetChecked) event() {}
 func (*FactsReceived) event() {}
@@ -86,6 +95,8 @@
 	news   []quarantine.Fingerprint
 	tellAt time.Duration
 	syncAt time.Duration
+	// asked counts the peers that were asked since the start.
+	asked int
 }
 
 // check is a check of a target that lost the connection of an attempt.
@@ -276,7 +287,20 @@
 	}
 }
 
-func (e *Engine) factsReceived(now clock.Instant, ev *FactsReceived) {
+// askPeer asks a peer that has become known what it knows about crashes, if this host has asked few
+// since its start: until then it would run what the others hold back.
+func (e *Engine) askPeer(host string, fx *Effects) {
+	if e.crash.asked < peersToAsk {
+		e.crash.asked++
+		fx.Tells = append(fx.Tells, Tell{Peer: host, Ask: true})
+	}
+}
+
+func (e *Engine) factsReceived(now clock.Instant, ev *FactsReceived, fx *Effects) {
+	if ev.Ask && e.crash.suspects.Len() > 0 {
+		facts := e.facts(now, e.crash.suspects.Newest(now.Mono, maxFactsPerMessage))
+		fx.Tells = append(fx.Tells, Tell{Peer: ev.From, Facts: facts})
+	}
 	for i := range ev.Facts {
 		news := e.crash.suspects.Merge(now.Mono, &ev.Facts[i])
 		if news && len(e.peers) > maxDirectPeers {
--- a/internal/core/relay/crash_test.go
+++ b/internal/core/relay/crash_test.go
@@ -171,3 +171,28 @@
 		t.Errorf("%d messages to %v in 10 intervals, want at most 11, to both peers", len(sim.tells), told)
 	}
 }
+
+// TestStartedHostAsksPeers checks that a host asks peers that it finds after its start, few of them, and
+// that a peer tells it what it knows.
+func TestStartedHostAsksPeers(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.step(&MembersChanged{Members: members(9)})
+	asked := 0
+	for _, tell := range sim.tells {
+		if tell.Ask && len(tell.Facts) == 0 {
+			asked++
+		}
+	}
+	if asked != peersToAsk {
+		t.Errorf("%d peers were asked, want %d", asked, peersToAsk)
+	}
+	sim.warmUp()
+	sim.crashOn("/bad", 300*time.Millisecond)
+	sim.submit("/one/bad")
+	sim.advance(timeout)
+	sim.tells = nil
+	sim.step(&FactsReceived{From: "p4", Ask: true})
+	if len(sim.tells) != 1 || sim.tells[0].Peer != "p4" || len(sim.tells[0].Facts) != 1 {
+		t.Errorf("a peer that asked was told %+v", sim.tells)
+	}
+}
--- a/internal/core/relay/engine.go
+++ b/internal/core/relay/engine.go
@@ -158,7 +158,7 @@
 	case *TargetChecked:
 		e.targetChecked(now, ev, fx)
 	case *FactsReceived:
-		e.factsReceived(now, ev)
+		e.factsReceived(now, ev, fx)
 	}
 	fx.Links = append(fx.Links, e.linksWanted...)
 	e.linksWanted = e.linksWanted[:0]
--- a/internal/core/relay/peer.go
+++ b/internal/core/relay/peer.go
@@ -94,6 +94,7 @@
 		p := previous[m.Host]
 		if p == nil || p.Started != m.Started {
 			p = &peer{Member: m, distance: e.distanceTo(m.Zone, m.Region)}
+			e.askPeer(m.Host, fx)
 		}
 		e.peers[m.Host] = p
 	}
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -136,7 +136,7 @@
 // tell sends a peer what this host knows about crashes. If the message is lost, a later one
 // repeats it.
 func (h *handoffs) tell(x *relay.Tell) {
-	if _, err := h.mesh.Call(x.Peer, wire.CallKind_CALL_KIND_CRASHES, marshal(wire.FromCrashFacts(x.Facts)), tellTimeout); err != nil {
+	if _, err := h.mesh.Call(x.Peer, wire.CallKind_CALL_KIND_CRASHES, marshal(wire.FromTell(x)), tellTimeout); err != nil {
 		h.log.Debug().Str("event", "crashes_not_told").Str("peer", x.Peer).Err(err).Send()
 	}
 }
@@ -149,7 +149,7 @@
 		return nil
 	}
 	// If the ring is full, the facts are lost; the peer sends them again.
-	h.put(&relay.FactsReceived{Facts: in.ToCore()})
+	h.put(in.ToEvent(from))
 	return nil
 }
 
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -85,11 +85,11 @@
 	return r
 }
 
-// FromCrashFacts returns the protobuf message for what a host knows about crashes.
-func FromCrashFacts(facts []quarantine.CrashFact) *CrashFacts {
-	out := &CrashFacts{Facts: make([]*CrashFact, len(facts))}
-	for i := range facts {
-		f := &facts[i]
+// FromTell returns the protobuf message for what a host tells a peer about crashes.
+func FromTell(t *relay.Tell) *CrashFacts {
+	out := &CrashFacts{Facts: make([]*CrashFact, len(t.Facts)), Ask: t.Ask}
+	for i := range t.Facts {
+		f := &t.Facts[i]
 		out.Facts[i] = &CrashFact{
 			Fingerprint: uint64(f.Fingerprint), Crashes: fromCrashIDs(f.Crashes), Refuted: fromCrashIDs(f.Refuted),
 			Alone: fromCrashIDs(f.Alone), Age: int64(f.Age),
@@ -98,11 +98,11 @@
 	return out
 }
 
-// ToCore returns the facts as the core's type.
-func (x *CrashFacts) ToCore() []quarantine.CrashFact {
-	out := make([]quarantine.CrashFact, len(x.GetFacts()))
+// ToEvent returns the event for the message from a peer.
+func (x *CrashFacts) ToEvent(from string) *relay.FactsReceived {
+	out := &relay.FactsReceived{From: from, Facts: make([]quarantine.CrashFact, len(x.GetFacts())), Ask: x.GetAsk()}
 	for i, f := range x.GetFacts() {
-		out[i] = quarantine.CrashFact{
+		out.Facts[i] = quarantine.CrashFact{
 			Fingerprint: quarantine.Fingerprint(f.GetFingerprint()), Crashes: toCrashIDs(f.GetCrashes()), Refuted: toCrashIDs(f.GetRefuted()),
 			Alone: toCrashIDs(f.GetAlone()), Age: time.Duration(f.GetAge()),
 		}
