What hosts tell each other about crashes in a file of its own

Cause: crash.go held the detection and the messages, and a lazily computed fingerprint behind a second flag. Change: crashfacts.go has the messages; the fingerprint is computed with the request, which needs it for its answer anyway. No behaviour changes; the relay's tests and the crash test of platform pass.

--- a/internal/core/relay/crash.go
+++ b/internal/core/relay/crash.go
@@ -18,8 +18,7 @@
 // loses a connection is checked whether it still listens. A request under which targets crash and
 // that none of them answers is suspect: it is not repeated, and the next request with its
 // fingerprint runs alone, at one target at a time, until one answers. Crashes under such requests
-// convict the fingerprint, unless this host saw it answered lately. Hosts tell each other what they
-// see.
+// convict the fingerprint, unless this host saw it answered lately.
 
 const (
 	// maxSuspects bounds the fingerprints that are kept.
@@ -33,19 +32,6 @@
 	maxClean = 8192
 	// checkPatience is how long a request is not repeated because a target is being checked.
 	checkPatience = 150 * time.Millisecond
-	// tellDelay collects the news of a crash, which takes several requests at once, into one
-	// message.
-	tellDelay = 10 * time.Millisecond
-	// syncInterval is the interval at which what is known is told to one peer again, which may
-	// have missed it or started since.
-	syncInterval = time.Second
-	// maxDirectPeers is the number of peers that are told of news at once. In a larger fleet
-	// they pass it on.
-	maxDirectPeers = 16
-	// peersToAsk is the number of peers that a host which has started asks what they know.
-	peersToAsk = 3
-	// maxFactsPerMessage bounds the fingerprints in one message.
-	maxFactsPerMessage = 64
 )
 
 // CheckID identifies one check of a target.
@@ -65,24 +51,7 @@
 	Refused bool
 }
 
-// Tell sends facts about crashes to a peer. A lost message is made up for by a later one.
-type Tell struct {
-	Peer  string
-	Facts []quarantine.CrashFact
-	// Ask asks the peer to tell what it knows.
-	Ask bool
-}
-
-// FactsReceived reports what a peer knows about crashes.
-type FactsReceived struct {
-	From  string
-	Facts []quarantine.CrashFact
-	// Ask states that the peer asks what this host knows.
-	Ask bool
-}
-
 func (*TargetChecked) event() {}
-func (*FactsReceived) event() {}
 
 // crashWatch is the engine's state about requests that crash targets.
 type crashWatch struct {
@@ -115,20 +84,12 @@
 	}
 }
 
-// fingerprint returns the request's fingerprint, which is computed once.
-func (r *request) fingerprint() quarantine.Fingerprint {
-	if !r.fingerprinted {
-		r.print, r.fingerprinted = fingerprintOf(r.Request), true
-	}
-	return r.print
-}
-
 // crashes returns the number of crashes that count against the request, 0 once it was answered.
 func (e *Engine) crashes(now clock.Instant, r *request) int {
 	if r.answered || e.crash.suspects.Len() == 0 {
 		return 0
 	}
-	return e.crash.suspects.Crashes(now.Mono, r.fingerprint())
+	return e.crash.suspects.Crashes(now.Mono, r.fingerprint)
 }
 
 // quarantined returns the code to refuse a request with that crashes targets, or result.OK. Of the
@@ -137,7 +98,7 @@
 	if e.crash.suspects.Len() == 0 {
 		return result.OK, 0
 	}
-	f := r.fingerprint()
+	f := r.fingerprint
 	if remaining, convicted := e.crash.suspects.Convicted(now.Mono, f); convicted {
 		return result.Quarantined, remaining
 	}
@@ -153,7 +114,7 @@
 	if !r.suspect {
 		return
 	}
-	e.crash.alone[r.fingerprint()]++
+	e.crash.alone[r.fingerprint]++
 	start := e.rng.IntN(len(r.shards))
 	r.soloShard = start
 	for n := range r.shards {
@@ -170,7 +131,7 @@
 	if !r.suspect {
 		return
 	}
-	f := r.fingerprint()
+	f := r.fingerprint
 	if e.crash.alone[f]--; e.crash.alone[f] <= 0 {
 		delete(e.crash.alone, f)
 	}
@@ -250,7 +211,7 @@
 
 // recordCrash records the crash of a target under a request that no target has answered.
 func (e *Engine) recordCrash(now clock.Instant, id CheckID, c *check, fx *Effects) {
-	r, f := c.request, c.request.fingerprint()
+	r, f := c.request, c.request.fingerprint
 	e.counters.Crashes++
 	news := e.crash.suspects.RecordCrash(now.Mono, f, e.crashID(id), c.alone)
 	_, convicted := e.crash.suspects.Convicted(now.Mono, f)
@@ -277,92 +238,12 @@
 	}
 	solo := r.runsAlone()
 	r.answered = true
-	if e.crash.suspects.RecordAnswer(now.Mono, r.fingerprint()) {
+	if e.crash.suspects.RecordAnswer(now.Mono, r.fingerprint) {
 		fx.Records = append(fx.Records, decision.New("suspect_cleared",
-			decision.String("request", r.ID), decision.String("fingerprint", r.fingerprint().String())))
-		e.tellLater(now, r.fingerprint())
+			decision.String("request", r.ID), decision.String("fingerprint", r.fingerprint.String())))
+		e.tellLater(now, r.fingerprint)
 	}
 	if solo && !r.ended {
 		e.delegate(now, r, fx)
 	}
 }
-
-// askPeer asks a peer that has become known what it knows about crashes, if this host has asked few
-// since its start: until then it would run what the others hold back.
-func (e *Engine) askPeer(host string, fx *Effects) {
-	if e.crash.asked < peersToAsk {
-		e.crash.asked++
-		fx.Tells = append(fx.Tells, Tell{Peer: host, Ask: true})
-	}
-}
-
-func (e *Engine) factsReceived(now clock.Instant, ev *FactsReceived, fx *Effects) {
-	if ev.Ask && e.crash.suspects.Len() > 0 {
-		facts := e.facts(now, e.crash.suspects.Newest(now.Mono, maxFactsPerMessage))
-		fx.Tells = append(fx.Tells, Tell{Peer: ev.From, Facts: facts})
-	}
-	for i := range ev.Facts {
-		news := e.crash.suspects.Merge(now.Mono, &ev.Facts[i])
-		if news && len(e.peers) > maxDirectPeers {
-			e.tellLater(now, ev.Facts[i].Fingerprint)
-		}
-	}
-}
-
-// tellLater has the peers told about a fingerprint after tellDelay.
-func (e *Engine) tellLater(now clock.Instant, f quarantine.Fingerprint) {
-	if len(e.crash.news) == 0 {
-		e.crash.tellAt = now.Mono + tellDelay
-	}
-	e.crash.news = append(e.crash.news, f)
-}
-
-// tellWake returns when tellPeers must next be called, and false if no time is set.
-func (e *Engine) tellWake() (time.Duration, bool) {
-	switch {
-	case len(e.crash.news) > 0:
-		return e.crash.tellAt, true
-	case e.crash.suspects.Len() > 0 && len(e.peers) > 0:
-		return e.crash.syncAt, true
-	}
-	return 0, false
-}
-
-// tellPeers tells the peers the news, and one of them everything, if it is time.
-func (e *Engine) tellPeers(now clock.Instant, fx *Effects) {
-	if len(e.crash.news) > 0 && now.Mono >= e.crash.tellAt {
-		facts := e.facts(now, e.crash.news)
-		e.crash.news = nil
-		for _, host := range e.peersToTell(maxDirectPeers) {
-			fx.Tells = append(fx.Tells, Tell{Peer: host, Facts: facts})
-		}
-	}
-	if e.crash.suspects.Len() > 0 && now.Mono >= e.crash.syncAt {
-		e.crash.syncAt = now.Mono + syncInterval
-		facts := e.facts(now, e.crash.suspects.Newest(now.Mono, maxFactsPerMessage))
-		for _, host := range e.peersToTell(1) {
-			fx.Tells = append(fx.Tells, Tell{Peer: host, Facts: facts})
-		}
-	}
-}
-
-func (e *Engine) facts(now clock.Instant, prints []quarantine.Fingerprint) []quarantine.CrashFact {
-	var facts []quarantine.CrashFact
-	told := map[quarantine.Fingerprint]bool{}
-	for _, f := range prints {
-		if fact, ok := e.crash.suspects.Fact(now.Mono, f); ok && !told[f] && len(facts) < maxFactsPerMessage {
-			facts, told[f] = append(facts, fact), true
-		}
-	}
-	return facts
-}
-
-// peersToTell returns the names of all peers, or of limit random ones if there are more.
-func (e *Engine) peersToTell(limit int) []string {
-	names := sortedKeys(e.peers)
-	if len(names) > limit {
-		e.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-		names = names[:limit]
-	}
-	return names
-}
--- a/internal/core/relay/reply.go
+++ b/internal/core/relay/reply.go
@@ -153,7 +153,7 @@
 		status = ev.Response.Status
 	}
 	fx.Records = append(fx.Records, decision.Warning("attempt_failed",
-		decision.String("request", r.ID), decision.String("fingerprint", fingerprintOf(r.Request).String()),
+		decision.String("request", r.ID), decision.String("fingerprint", r.fingerprint.String()),
 		decision.String("route", r.route.Name), decision.Int("shard", a.shard),
 		decision.String("target", a.target.spec.Instance), decision.String("address", a.target.spec.Address),
 		decision.Uint("entry_revision", a.target.spec.Revision),
--- a/internal/core/relay/request.go
+++ b/internal/core/relay/request.go
@@ -112,8 +112,7 @@
 	ran   bool
 	ended bool
 
-	print         quarantine.Fingerprint
-	fingerprinted bool
+	fingerprint quarantine.Fingerprint
 	// answered is set once a target has answered the request, whatever its status.
 	answered bool
 	// checks counts the checks in progress of targets that lost the request. They hold it up
--- a/internal/core/relay/submit.go
+++ b/internal/core/relay/submit.go
@@ -108,7 +108,7 @@
 }
 
 func (e *Engine) newRequest(now clock.Instant, rq *Request, route *catalog.Route) *request {
-	r := &request{Request: rq, route: route, version: e.view.Config.Version, started: now.Mono}
+	r := &request{Request: rq, route: route, version: e.view.Config.Version, started: now.Mono, fingerprint: fingerprintOf(rq)}
 	if rq.ArrivedAt > 0 {
 		r.started = min(rq.ArrivedAt, now.Mono)
 	}
