--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,7 +7,7 @@
 rig=$top/review/bin/rig
 [ -x "$rig" ] && [ -x "$top/target/pollentack" ] || { echo "build first: the deploy file's build and review/build.sh"; exit 2; }
 cd "$top" || exit 2
-"$rig" crash-memory target/pollentack "$here/record.txt" &
+"$rig" reader-cut target/pollentack "$here/record.txt" &
 child=$!
 trap 'kill $child 2>/dev/null' INT TERM
 wait $child
