Log when a source was last in contact as a target's entry goes

Its logs had whole seconds, and a follower that heard that its peer had lost the store logged only its next source. Change: lines have milliseconds, target_entry_gone has contact_age_ms, and source_stale says that the followed peer has lost the store.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -337,7 +337,7 @@
 	f.handleSuccess(fx)
 	stale := ev.Stale || f.formsLoop(ev.Path)
 	if f.current != storeSource {
-		f.handlePeerReply(now, ev, stale)
+		f.handlePeerReply(now, ev, stale, fx)
 	}
 	f.applyKnownSince(now, ev, fx)
 	fx.Progress = &Progress{Revision: max(f.view.Revision, ev.Revision), Fresh: !stale, Path: ev.Path, KnownSince: f.knownSince}
@@ -458,7 +458,7 @@
 		delay = removalDelay
 	}
 	f.removals[name] = now.Mono + delay
-	f.gone = append(f.gone, goneEntry{name, revision, delay})
+	f.gone = append(f.gone, goneEntry{name, revision, delay, now.Mono - f.lastContactAt})
 }
 
 func (f *Follower) removeDueTargets(now clock.Instant) {
--- a/internal/core/discovery/record.go
+++ b/internal/core/discovery/record.go
@@ -17,11 +17,13 @@
 	targetsPerRecord = 100
 )
 
-// goneEntry is a target whose entry was deleted, at a revision of the store.
+// goneEntry is a target whose entry was deleted, at a revision of the store. contactAge is the time
+// since a source had last answered with up-to-date data.
 type goneEntry struct {
-	name      string
-	revision  uint64
-	removalIn time.Duration
+	name       string
+	revision   uint64
+	removalIn  time.Duration
+	contactAge time.Duration
 }
 
 // recordTargets records the changes to targets since the last call.
@@ -35,7 +37,8 @@
 	})
 	recordEach(fx, f.gone, "target_entries_gone", func(g goneEntry) decision.Record {
 		return decision.New("target_entry_gone",
-			decision.String("target", g.name), decision.Uint("revision", g.revision), decision.Millis("removal_in", g.removalIn))
+			decision.String("target", g.name), decision.Uint("revision", g.revision), decision.Millis("removal_in", g.removalIn),
+			decision.Millis("contact_age", g.contactAge))
 	}, func(g goneEntry) string { return fmt.Sprintf("%s %d", g.name, g.revision) })
 	recordEach(fx, f.removed, "targets_removed", func(name string) decision.Record {
 		return decision.New("target_removed", decision.String("target", name))
--- a/internal/core/discovery/source.go
+++ b/internal/core/discovery/source.go
@@ -109,7 +109,12 @@
 
 // handlePeerReply updates the state of the current source from a peer's reply. A peer sends
 // all the items it knows, so that after an up-to-date reply no list is needed.
-func (f *Follower) handlePeerReply(now clock.Instant, ev *Changes, stale bool) {
+func (f *Follower) handlePeerReply(now clock.Instant, ev *Changes, stale bool, fx *Effects) {
+	if stale && f.sourceVerified {
+		fx.Records = append(fx.Records, decision.Warning("source_stale",
+			decision.String("peer", f.current), decision.Uint("revision", f.view.Revision),
+			decision.Millis("waited", now.Mono-f.callStartedAt), decision.Millis("contact_age", now.Mono-f.lastContactAt)))
+	}
 	if stale {
 		f.unavailableUntil[f.current] = now.Mono + stalePeerRetryDelay
 	}
--- a/internal/edge/logs/logs.go
+++ b/internal/edge/logs/logs.go
@@ -19,6 +19,8 @@
 	// maxEventNames is the number of events that are counted separately. Further events share
 	// one count.
 	maxEventNames = 256
+	// timeFormat has milliseconds: the order of decisions on several hosts often shows only there.
+	timeFormat = "2006-01-02T15:04:05.000Z07:00"
 )
 
 // New returns a logger with the given level that writes to w; an invalid level means info. It
@@ -35,7 +37,12 @@
 		parsed = zerolog.InfoLevel
 	}
 	limited := &limiter{out: w, linesPerWindow: lines, now: time.Now, events: map[string]*windowCount{}}
-	return zerolog.New(limited).Level(parsed).With().Timestamp().Logger()
+	return zerolog.New(limited).Level(parsed).Hook(zerolog.HookFunc(addTime))
+}
+
+// addTime adds the time of a line.
+func addTime(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str(zerolog.TimestampFieldName, time.Now().Format(timeFormat))
 }
 
 // limiter is a writer of JSON lines that limits the lines of each event.
@@ -66,7 +73,7 @@
 		suppressed := c.suppressed
 		*c = windowCount{start: now}
 		if suppressed > 0 {
-			summary := fmt.Sprintf("{\"level\":\"warn\",\"event\":\"log_limited\",\"of\":%q,\"left_out\":%d,\"time\":%q}\n", name, suppressed, now.Format(time.RFC3339))
+			summary := fmt.Sprintf("{\"level\":\"warn\",\"event\":\"log_limited\",\"of\":%q,\"left_out\":%d,\"time\":%q}\n", name, suppressed, now.Format(timeFormat))
 			if _, err := io.WriteString(l.out, summary); err != nil {
 				return 0, err
 			}
