A deleted target leaves the followers of a lost host in time

What callers saw: while the host that reads the store for its availability zone was cut off from it, the other hosts of the zone, undisturbed, sent requests to a leaf up to 4.9 s after its entry was removed; drain_ms allows 4 s.

Cause: waits that are no parts of one bound. Pause (0.8 s), wait (1.5 s) and margin (0.7 s) of a watch of the store were cut from the bound on changes alone, and the delay before a removal (2 s) came on top: 5 s. Until its call had failed, the host told its followers that it was up to date, since that was a flag and not an age.

Change: the bound on deleted targets is a setting of its own (RemovalBound, from drain_ms). The age of a host's contact with the store is limited by the tighter of both bounds, removal and failover subtracted; it is passed on with each reply of a peer (contact_age_ms) and counted from the store's reply to the first host of the chain. A host serves itself as stale once the limit is over, although its call goes on. A frozen or dead host is covered by the time left until the limit in its followers' own calls, a call that hangs by the limit itself, a chain since the ages do not start anew at each host.

Ruled out: links between hosts (source_stale comes in the same millisecond as store_lost) and the second call (2 ms).

TestWatchesFitApplyBound became TestWatchesFitBounds: the pause before a watch now shortens its wait, so it measures from the last contact instead of adding the longest pause, also with a busy store, and adds the removal.

--- a/internal/core/discovery/cluster_test.go
+++ b/internal/core/discovery/cluster_test.go
@@ -21,22 +21,32 @@
 	progress  map[string]Progress
 	callStart map[string]time.Duration
 	pending   map[string]*Call
+	// peerContact is, by caller, the contact of the called peer when the call began.
+	peerContact map[string]time.Duration
 	// doomed holds the hosts whose call in progress gets no reply.
 	doomed map[string]bool
 	// rejected holds the hosts whose calls the store does not answer, silent those that are lost.
 	rejected map[string]bool
 	silent   map[string]bool
+	// hung holds the hosts whose calls end neither with a reply nor with a time-out.
+	hung map[string]bool
 	// silentLinks holds, by caller and peer ("" for the store), the connections that carry nothing
 	// any more; the value is when the link is replaced, 0 if that is not decided.
 	silentLinks map[[2]string]time.Duration
 	revision    uint64
-	now         clock.Instant
+	// leavingDeletedAt is the revision at which the entry of leavingTarget was deleted, 0 before.
+	leavingDeletedAt uint64
+	now              clock.Instant
 }
 
+// leavingTarget is the name of a target whose entry may be deleted.
+const leavingTarget = "leaving"
+
 func newCluster() *cluster {
 	return &cluster{
 		hosts: map[string]*Follower{}, progress: map[string]Progress{}, callStart: map[string]time.Duration{},
 		pending: map[string]*Call{}, doomed: map[string]bool{}, rejected: map[string]bool{}, silent: map[string]bool{},
+		hung: map[string]bool{}, peerContact: map[string]time.Duration{},
 		silentLinks: map[[2]string]time.Duration{}, revision: 5,
 	}
 }
@@ -73,9 +83,18 @@
 	}
 }
 
+// deleteLeavingTarget deletes the entry of leavingTarget.
+func (cl *cluster) deleteLeavingTarget() {
+	cl.revision++
+	cl.leavingDeletedAt = cl.revision
+}
+
 // completeCall ends a host's call if it is answered or times out now.
 func (cl *cluster) completeCall(host string) {
 	c := cl.pending[host]
+	if cl.hung[host] {
+		return
+	}
 	elapsed := cl.now.Mono - cl.callStart[host]
 	if cl.doomed[host] || cl.silent[c.Peer] || c.Peer == storeSource && cl.rejected[host] {
 		if elapsed >= c.Timeout {
@@ -87,14 +106,18 @@
 	waitOver := elapsed >= c.Wait
 	if c.Peer == storeSource {
 		if waitOver || c.AfterRevision < cl.revision {
-			cl.step(host, cl.reply(c, cl.revision, nil, false))
+			cl.step(host, cl.reply(c, cl.revision))
 		}
 		return
 	}
 	p := cl.progress[c.Peer]
-	if waitOver || !p.Fresh || c.AfterRevision < p.Revision {
-		cl.step(host, cl.reply(c, p.Revision, append([]string{c.Peer}, p.Path...), !p.Fresh))
+	fresh := p.FreshAt(cl.now.Mono)
+	if !waitOver && fresh && c.AfterRevision >= p.Revision && p.ContactAt <= cl.peerContact[host] {
+		return
 	}
+	ev := cl.reply(c, p.Revision).(*Changes)
+	ev.Path, ev.Stale, ev.ContactAge = append([]string{c.Peer}, p.Path...), !fresh, cl.now.Mono-p.ContactAt
+	cl.step(host, ev)
 }
 
 // replaceLink replaces a connection on which a call timed out: that to the store at once, that to a
@@ -111,15 +134,22 @@
 	}
 }
 
-func (cl *cluster) reply(c *Call, upTo uint64, path []string, stale bool) Event {
-	ev := &Changes{Revision: upTo, Path: path, Stale: stale}
-	if !c.Watch {
-		return &Page{Items: []Item{configItem(upTo, upTo)}, Revision: upTo}
+// reply returns the reply to a call from a source that knows all changes up to a revision.
+func (cl *cluster) reply(c *Call, upTo uint64) Event {
+	items := []Item{configItem(upTo, upTo)}
+	switch deletedAt := cl.leavingDeletedAt; {
+	case deletedAt == 0 || upTo < deletedAt:
+		items = append(items, targetItem(1, leavingTarget))
+	case c.Watch && c.AfterRevision < deletedAt:
+		items = append(items, Item{Key: "t/" + leavingTarget, Kind: TargetItem, Name: leavingTarget, Revision: deletedAt, Deleted: true})
 	}
-	if c.AfterRevision < upTo {
-		ev.Items = []Item{configItem(upTo, upTo)}
+	switch {
+	case !c.Watch:
+		return &Page{Items: items, Revision: upTo}
+	case c.AfterRevision < upTo:
+		return &Changes{Items: items, Revision: upTo}
 	}
-	return ev
+	return &Changes{Revision: upTo}
 }
 
 func (cl *cluster) step(host string, ev Event) {
@@ -135,6 +165,7 @@
 	}
 	if fx.Call != nil {
 		cl.pending[host], cl.callStart[host] = fx.Call, cl.now.Mono
+		cl.peerContact[host] = cl.progress[fx.Call.Peer].ContactAt
 		due, silent := cl.silentLinks[[2]string{host, fx.Call.Peer}]
 		cl.doomed[host] = silent && (due == 0 || cl.now.Mono < due)
 	}
--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -18,31 +18,39 @@
 )
 
 const (
-	// maxWatchWait and minWatchWait bound the wait of a watch, which follows from
-	// Config.ApplyBound. If the store has lost the watch, or the connection was lost without
-	// notice, the host detects this only when the call times out.
+	// maxWatchWait and minWatchWait bound the wait of a watch. If the store has lost the watch, or
+	// the connection was lost without notice, the host detects this only when the call times out.
 	maxWatchWait = 3500 * time.Millisecond
-	minWatchWait = 500 * time.Millisecond
-	// defaultApplyBound is the Config.ApplyBound of a host without one.
-	defaultApplyBound = 4 * time.Second
+	minWatchWait = 100 * time.Millisecond
+	// defaultBound is the Config.ApplyBound and Config.RemovalBound of a host without one.
+	defaultBound = 4 * time.Second
 	// failoverTime is the part of Config.ApplyBound that is left to get a change from another
-	// source: two calls that time out and some that are answered.
-	failoverTime = time.Second
-	// minPeerWatchWait is the least wait of a watch of a peer, which follows from
-	// Config.ApplyBound too.
-	minPeerWatchWait = time.Second
-	// storeReplyMargin and peerReplyMargin are how long after its wait a call may take. Store
-	// and peers reply within milliseconds. firstReplyMargin is the margin of the first call to
-	// a peer, whose reply holds the whole catalog.
+	// source once the current one has lost contact with the store: a call that times out and some
+	// that are answered. removalFailoverTime is the part of Config.RemovalBound, of which
+	// removalDelay takes half or more: a late reply of a peer and a call that is answered.
+	failoverTime        = time.Second
+	removalFailoverTime = 500 * time.Millisecond
+	// maxContactLimit and minContactLimit bound the contact limit: see newContactLimit.
+	maxContactLimit = maxWatchWait + maxCoalesceDelay + renewalMargin
+	minContactLimit = 600 * time.Millisecond
+	// renewalMargin is the part of the contact limit that is left for the store's reply after the
+	// wait of a watch. A slower reply is still used, but peers have turned to other sources.
+	renewalMargin = 400 * time.Millisecond
+	// storeReplyMargin and peerReplyMargin are how long after its wait a call may take. The store
+	// replies within milliseconds, and a peer at the latest when its contact limit is over.
+	// firstReplyMargin is the margin of a call that does not wait to a peer, and firstListMargin
+	// the same while this host knows nothing, so that the reply holds the whole catalog.
 	storeReplyMargin = 700 * time.Millisecond
-	peerReplyMargin  = 700 * time.Millisecond
-	firstReplyMargin = 1500 * time.Millisecond
+	peerReplyMargin  = 200 * time.Millisecond
+	firstReplyMargin = 700 * time.Millisecond
+	firstListMargin  = 1500 * time.Millisecond
 	// coalesceDelay is the delay between a change and the next watch, so that a burst of
 	// changes costs few calls. The list after HistoryGone is delayed by as much. It is far
 	// below any bound on applying a change.
 	coalesceDelay = 200 * time.Millisecond
 	// maxCoalesceDelay bounds the delay before the next watch of the store, which doubles with
-	// each reply that has changes and starts again after one without. Releases, and leafs that
+	// each reply that has changes and starts again after one without. It is also at most half of
+	// the contact limit. Releases, and leafs that
 	// register after a loss of power, change the store many times a second for a while.
 	maxCoalesceDelay = 800 * time.Millisecond
 	// minBackoff and maxBackoff bound the delay after a failed call, which doubles with
@@ -52,9 +60,9 @@
 	// less.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
-	// removalDelay is how long a target in use stays so after its entry was deleted. An entry
-	// that expired while the store was unavailable is republished within about two seconds
-	// of the store's recovery.
+	// removalDelay is how long a target in use stays so after its entry was deleted, but at most
+	// half of Config.RemovalBound. An entry that expired while the store was unavailable is
+	// republished within about two seconds of the store's recovery.
 	removalDelay = 2 * time.Second
 	// peerRetryDelay is how long a peer is not called after a failed call.
 	peerRetryDelay = 3 * time.Second
@@ -132,11 +140,14 @@
 	// progress.
 	nextCallAt     time.Duration
 	callInProgress bool
-	// callStartedAt is when the last call was started, lastContactAt when a source last
-	// answered with up-to-date data.
-	callStartedAt time.Duration
-	lastContactAt time.Duration
-	viewChanged   bool
+	callStartedAt  time.Duration
+	// contactAt is when the store last answered the host at the end of the chain of sources that
+	// this host follows: a peer's reply is as old as the peer's own contact.
+	contactAt time.Duration
+	// contactLimit is the age of contactAt from which this host no longer counts as up to date.
+	contactLimit time.Duration
+	removalDelay time.Duration
+	viewChanged  bool
 	// complete is set once the view holds a whole catalog. Until then it is not published: a
 	// host that knows only the first pages of a list would answer without most of its shards,
 	// and one that knows only an outdated peer's items would use withdrawn ones.
@@ -155,8 +166,11 @@
 	// callers can use a peer and save the store a call.
 	WaitForPeers bool
 	// ApplyBound is the longest time from a change in the store until this host applies it,
-	// whichever of its sources fails meanwhile; 0 means defaultApplyBound.
+	// whichever of its sources fails meanwhile; 0 means defaultBound.
 	ApplyBound time.Duration
+	// RemovalBound is the same for a deleted target: the longest time until this host no longer
+	// uses it.
+	RemovalBound time.Duration
 	// Seed randomizes the retry delays across hosts.
 	Seed uint64
 }
@@ -164,10 +178,16 @@
 // New returns a Follower with an empty view.
 func New(cfg Config) *Follower {
 	if cfg.ApplyBound <= 0 {
-		cfg.ApplyBound = defaultApplyBound
+		cfg.ApplyBound = defaultBound
 	}
+	if cfg.RemovalBound <= 0 {
+		cfg.RemovalBound = defaultBound
+	}
+	removal := min(removalDelay, cfg.RemovalBound/2)
 	return &Follower{
 		cfg:              cfg,
+		contactLimit:     newContactLimit(cfg.ApplyBound, cfg.RemovalBound-removal),
+		removalDelay:     removal,
 		sources:          []string{storeSource},
 		unavailableUntil: map[string]time.Duration{},
 		rng:              rand.New(rand.NewPCG(cfg.Seed, 1)),
@@ -177,6 +197,15 @@
 	}
 }
 
+// newContactLimit returns how old the contact of a host with the store may become before its peers
+// turn to other sources. Each host of a chain measures it from the same instant, that of the
+// store's reply to the first, so that the waits of the chain do not add up. deletion is the part of
+// the bound on deleted targets in which a host must know of the deletion.
+func newContactLimit(apply, deletion time.Duration) time.Duration {
+	limit := min(apply-failoverTime, deletion-removalFailoverTime)
+	return min(max(limit, minContactLimit), maxContactLimit)
+}
+
 // View returns the current view, which later steps modify.
 func (f *Follower) View() *catalog.View { return f.view }
 
@@ -227,6 +256,14 @@
 	return next, ok
 }
 
+// progress returns the progress of this host after a call.
+func (f *Follower) progress(fresh bool) *Progress {
+	return &Progress{
+		Revision: f.view.Revision, KnownSince: f.knownSince,
+		Fresh: fresh, ContactAt: f.contactAt, FreshUntil: f.contactAt + f.contactLimit,
+	}
+}
+
 func (f *Follower) beginList(now clock.Instant) {
 	f.phase = listing
 	f.listedItems = map[itemID]bool{}
@@ -238,19 +275,19 @@
 func (f *Follower) handleFailure(now clock.Instant, ev *CallFailed, fx *Effects) {
 	f.callInProgress = false
 	f.nextCallAt = now.Mono
-	fx.Progress = &Progress{Revision: f.view.Revision, KnownSince: f.knownSince}
+	fx.Progress = f.progress(false)
 	if f.current != storeSource {
 		f.peerLost = true
 		f.unavailableUntil[f.current] = now.Mono + peerRetryDelay
 		fx.Records = append(fx.Records, decision.Warning("source_lost",
 			decision.String("peer", f.current), decision.String("reason", ev.Reason), decision.Uint("revision", f.view.Revision),
-			decision.Millis("waited", now.Mono-f.callStartedAt), decision.Millis("contact_age", now.Mono-f.lastContactAt)))
+			decision.Millis("waited", now.Mono-f.callStartedAt), decision.Millis("contact_age", now.Mono-f.contactAt)))
 		return
 	}
 	if f.storeFailures == 0 {
 		fx.Records = append(fx.Records, decision.Warning("store_lost",
 			decision.String("reason", ev.Reason), decision.Uint("revision", f.view.Revision),
-			decision.Millis("waited", now.Mono-f.callStartedAt), decision.Millis("contact_age", now.Mono-f.lastContactAt)))
+			decision.Millis("waited", now.Mono-f.callStartedAt), decision.Millis("contact_age", now.Mono-f.contactAt)))
 	}
 	f.storeFailures++
 	f.completeWithoutStore()
@@ -280,7 +317,7 @@
 // starts at the revision of the first page.
 func (f *Follower) handlePage(now clock.Instant, ev *Page, fx *Effects) {
 	f.handleSuccess(fx)
-	f.lastContactAt = now.Mono
+	f.contactAt = now.Mono
 	if f.listRevision == 0 {
 		f.listRevision = ev.Revision
 	}
@@ -294,7 +331,7 @@
 		return
 	}
 	f.endList(now, fx)
-	fx.Progress = &Progress{Revision: f.view.Revision, Fresh: true, KnownSince: f.knownSince}
+	fx.Progress = f.progress(true)
 }
 
 // endList deletes the items that the list no longer holds and switches to watching. Items
@@ -340,7 +377,6 @@
 		f.handlePeerReply(now, ev, stale, fx)
 	}
 	f.applyKnownSince(now, ev, fx)
-	fx.Progress = &Progress{Revision: max(f.view.Revision, ev.Revision), Fresh: !stale, Path: ev.Path, KnownSince: f.knownSince}
 	for i := range ev.Items {
 		f.applyItem(now, &ev.Items[i], fx)
 	}
@@ -348,9 +384,11 @@
 	if stale {
 		f.completeWithoutStore()
 	} else {
-		f.lastContactAt = now.Mono
+		f.contactAt = max(f.contactAt, now.Mono-ev.ContactAge)
 		f.peerLost = false
 	}
+	fx.Progress = f.progress(!stale)
+	fx.Progress.Path = ev.Path
 	f.nextCallAt = now.Mono
 	f.nextCallAt += f.coalesce(len(ev.Items) > 0)
 	f.sourceVerified = !stale
@@ -392,7 +430,7 @@
 		f.storeCoalesceDelay = 0
 		return 0
 	}
-	f.storeCoalesceDelay = min(max(coalesceDelay, 2*f.storeCoalesceDelay), maxCoalesceDelay)
+	f.storeCoalesceDelay = min(max(coalesceDelay, 2*f.storeCoalesceDelay), maxCoalesceDelay, f.contactLimit/2)
 	return f.storeCoalesceDelay
 }
 
@@ -428,7 +466,7 @@
 	f.viewChanged = true
 	fx.Records = append(fx.Records, decision.New("config_in_force",
 		decision.Uint("version", it.Config.Version), decision.Uint("revision", it.Revision), decision.Int("routes", len(it.Config.Routes)),
-		decision.String("source", f.current), decision.Millis("contact_age", now.Mono-f.lastContactAt)))
+		decision.String("source", f.current), decision.Millis("contact_age", now.Mono-f.contactAt)))
 }
 
 func (f *Follower) applyTarget(now clock.Instant, it *Item) {
@@ -455,10 +493,10 @@
 	}
 	var delay time.Duration
 	if f.complete {
-		delay = removalDelay
+		delay = f.removalDelay
 	}
 	f.removals[name] = now.Mono + delay
-	f.gone = append(f.gone, goneEntry{name, revision, delay, now.Mono - f.lastContactAt})
+	f.gone = append(f.gone, goneEntry{name, revision, delay, now.Mono - f.contactAt})
 }
 
 func (f *Follower) removeDueTargets(now clock.Instant) {
--- a/internal/core/discovery/discovery_test.go
+++ b/internal/core/discovery/discovery_test.go
@@ -79,31 +79,62 @@
 	}
 }
 
-// TestWatchesFitApplyBound checks for several bounds that a watch that the store never answers,
-// begun after the longest delay, leaves failoverTime of the bound.
-func TestWatchesFitApplyBound(t *testing.T) {
+// TestWatchesFitBounds checks for several bounds, with a quiet and with a busy store, that a watch
+// which the store or a peer never answers leaves failoverTime of the bound on changes, counted from
+// the last contact, and that the removal of a target fits its bound too.
+func TestWatchesFitBounds(t *testing.T) {
 	for _, bound := range []time.Duration{0, 3 * time.Second, 4 * time.Second, 5 * time.Second, 6 * time.Second, time.Minute} {
-		h := &harness{t: t, f: New(Config{Self: "self", ApplyBound: bound, Seed: 1})}
+		h := &harness{t: t, f: New(Config{Self: "self", ApplyBound: bound, RemovalBound: bound, Seed: 1})}
 		h.step(&Start{})
 		h.step(&Page{Items: []Item{configItem(3, 7), targetItem(5, "a")}, Revision: 10})
 		if bound == 0 {
 			bound = applyBound
 		}
-		if noticed := maxCoalesceDelay + h.fx.Call.Timeout; h.fx.Call.Wait <= 0 || noticed > bound-failoverTime {
-			t.Errorf("bound %v: a watch waits %v, and its loss is noticed after %v, want at most %v", bound, h.fx.Call.Wait, noticed, bound-failoverTime)
+		for round := range uint64(6) {
+			contact := h.now.Mono
+			for h.fx.Call == nil {
+				due, _ := h.f.NextWake()
+				h.advance(due - h.now.Mono)
+			}
+			if noticed := h.now.Mono - contact + h.fx.Call.Timeout; h.fx.Call.Wait <= 0 || noticed > bound-failoverTime {
+				t.Errorf("bound %v, round %d: a watch waits %v, and its loss is noticed after %v, want at most %v", bound, round, h.fx.Call.Wait, noticed, bound-failoverTime)
+			}
+			h.step(&Changes{Items: []Item{targetItem(11+round, "a")}, Revision: 11 + round})
+			if p := h.fx.Progress; p.FreshUntil-h.now.Mono+h.f.removalDelay > bound-removalFailoverTime {
+				t.Errorf("bound %v: followers learn of a loss after %v, and a removal takes %v more", bound, p.FreshUntil-h.now.Mono, h.f.removalDelay)
+			}
 		}
-		h = &harness{t: t, f: New(Config{Self: "self", ApplyBound: bound, WaitForPeers: true, Seed: 1})}
+		h = &harness{t: t, f: New(Config{Self: "self", ApplyBound: bound, RemovalBound: bound, WaitForPeers: true, Seed: 1})}
 		h.step(&Start{})
 		h.step(&Sources{Hosts: []string{"peer", "self"}})
 		h.advance(coalesceDelay)
 		h.step(&Changes{Items: []Item{configItem(3, 7)}, Revision: 10, Path: []string{"peer"}})
 		h.advance(coalesceDelay)
-		if c := h.fx.Call; c == nil || c.Peer != "peer" || c.Wait <= 0 || coalesceDelay+c.Timeout > bound-failoverTime {
+		c := h.fx.Call
+		if c == nil || c.Peer != "peer" || c.Wait <= 0 || coalesceDelay+c.Timeout > bound-failoverTime || coalesceDelay+c.Timeout+h.f.removalDelay > bound {
 			t.Errorf("bound %v: the watch of a peer is %+v, want its loss noticed after at most %v", bound, c, bound-failoverTime)
 		}
 	}
 }
 
+// TestPeersContactIsNotTakenForOwn checks that the contact of a host that follows another is as old
+// as that of the other, and that its next watch ends when that is too old.
+func TestPeersContactIsNotTakenForOwn(t *testing.T) {
+	const age = time.Second
+	h := &harness{t: t, f: New(Config{Self: "self", WaitForPeers: true, Seed: 1})}
+	h.advance(time.Minute)
+	h.step(&Start{})
+	h.step(&Sources{Hosts: []string{"peer", "self"}})
+	h.advance(peerDiscoveryDelay)
+	h.step(&Changes{Revision: 10, Path: []string{"peer"}, ContactAge: age})
+	if p := h.fx.Progress; p == nil || p.ContactAt != h.now.Mono-age || p.FreshAt(p.ContactAt+h.f.contactLimit) {
+		t.Errorf("progress at %v is %+v, want a contact %v ago", h.now.Mono, p, age)
+	}
+	if c := h.fx.Call; c == nil || c.Wait > h.f.contactLimit-age {
+		t.Errorf("call is %+v, want a wait of at most %v", c, h.f.contactLimit-age)
+	}
+}
+
 func TestTargetRepublishedWithinRemovalDelayIsKept(t *testing.T) {
 	h := newListedHarness(t)
 	h.step(&Changes{Items: []Item{{Key: "t/a", Kind: TargetItem, Name: "a", Revision: 11, Deleted: true}}, Revision: 11})
@@ -245,8 +276,8 @@
 func TestStoreIsPolledWithoutWaitAfterFailure(t *testing.T) {
 	h := newListedHarness(t)
 	want := h.fx.Call.Wait
-	if want < minWatchWait {
-		t.Fatalf("watch of an available store waits %v, want at least %v", want, minWatchWait)
+	if leastWait := 500 * time.Millisecond; want < leastWait {
+		t.Fatalf("watch of an available store waits %v, want at least %v", want, leastWait)
 	}
 	h.step(&CallFailed{Reason: "silent"})
 	h.advance(2 * maxBackoff)
@@ -358,7 +389,7 @@
 		t.Fatalf("first call is %+v, want one that does not wait", c)
 	}
 	h.step(&Changes{Revision: 10, Path: []string{"peer"}})
-	if c := h.fx.Call; c == nil || c.Peer != "peer" || c.Wait < minPeerWatchWait {
+	if c := h.fx.Call; c == nil || c.Peer != "peer" || c.Wait < time.Second {
 		t.Errorf("second call is %+v, want a watch", c)
 	}
 }
--- a/internal/core/discovery/event.go
+++ b/internal/core/discovery/event.go
@@ -58,8 +58,10 @@
 type Changes struct {
 	Items    []Item
 	Revision uint64
-	// Stale reports that the peer that replied has lost contact with the store.
-	Stale bool
+	// Stale reports that the peer that replied has lost contact with the store. Otherwise
+	// ContactAge is the age of its contact, 0 for the store itself.
+	Stale      bool
+	ContactAge time.Duration
 	// Path lists the hosts through which the peer gets its data, the peer first.
 	Path []string
 	// KnownSince is the revision since which the peer knows of all deletions, 0 if it did not
@@ -120,14 +122,20 @@
 	// Revision is the revision of the store up to which this host knows all changes.
 	Revision uint64
 	// Fresh reports that the last call was answered with data from the store, directly or
-	// through peers.
-	Fresh bool
+	// through peers. ContactAt is when the store gave the last such answer. A call that is still
+	// unanswered at FreshUntil counts as one that has failed.
+	Fresh      bool
+	ContactAt  time.Duration
+	FreshUntil time.Duration
 	// Path lists the hosts through which the data came, empty for the store itself.
 	Path []string
 	// KnownSince is the revision since which this host knows of all deletions.
 	KnownSince uint64
 }
 
+// FreshAt reports whether this host counts as up to date at a time.
+func (p *Progress) FreshAt(now time.Duration) bool { return p.Fresh && now < p.FreshUntil }
+
 // Reset empties the effects and keeps their memory for reuse.
 func (fx *Effects) Reset() {
 	clear(fx.Records)
--- a/internal/core/discovery/source.go
+++ b/internal/core/discovery/source.go
@@ -67,37 +67,34 @@
 		fx.Call = &Call{AfterKey: f.afterKey, Timeout: storeReplyMargin}
 		return
 	}
-	wait := f.watchWait()
-	fx.Call = &Call{Peer: source, Watch: true, AfterRevision: f.view.Revision, Wait: wait, Timeout: wait + f.replyMargin()}
+	wait, margin := f.watchTimes(now)
+	fx.Call = &Call{Peer: source, Watch: true, AfterRevision: f.view.Revision, Wait: wait, Timeout: wait + margin}
 }
 
-// watchWait returns how long the next watch may wait. After a failed call the store is
-// asked to answer at once, because a long wait would hide for its duration whether the
-// store is back. The first watch of a peer does not wait either: its path shows whether
-// the peer follows this host, and two hosts that wait for each other would never get an
-// update.
-func (f *Follower) watchWait() time.Duration {
-	switch {
-	case f.current == storeSource && (f.storeFailures > 0 || f.peerLost), f.current != storeSource && !f.sourceVerified:
-		return 0
-	case f.current != storeSource:
-		// A target whose entry is gone stays in use for removalDelay more.
-		return min(max(f.cfg.ApplyBound-coalesceDelay-peerReplyMargin-removalDelay, minPeerWatchWait), maxWatchWait)
-	case f.sources[0] != storeSource:
-		return fallbackWatchWait
-	}
-	return min(max(f.cfg.ApplyBound-maxCoalesceDelay-storeReplyMargin-failoverTime, minWatchWait), maxWatchWait)
-}
-
-// replyMargin returns how long after its wait the next watch may take.
-func (f *Follower) replyMargin() time.Duration {
+// watchTimes returns how long the next watch may wait, and how long after that its reply may take.
+// A watch ends before the contact limit is over, so the delay before it counts. After a failed call
+// the store is asked to answer at once, because a long wait would hide for its duration whether the
+// store is back. The first watch of a peer does not wait either: its path shows whether the peer
+// follows this host, and two hosts that wait for each other would never get an update.
+func (f *Follower) watchTimes(now clock.Instant) (wait, margin time.Duration) {
+	left := f.contactAt + f.contactLimit - now.Mono
+	if f.current == storeSource {
+		if f.storeFailures > 0 || f.peerLost {
+			return 0, storeReplyMargin
+		}
+		wait = min(max(left-renewalMargin, minWatchWait), maxWatchWait)
+		if f.sources[0] != storeSource {
+			wait = min(wait, fallbackWatchWait)
+		}
+		return wait, storeReplyMargin
+	}
 	switch {
-	case f.current == storeSource:
-		return storeReplyMargin
 	case f.view.Revision == 0:
-		return firstReplyMargin
+		return 0, firstListMargin
+	case !f.sourceVerified:
+		return 0, firstReplyMargin
 	}
-	return peerReplyMargin
+	return max(left, minWatchWait), peerReplyMargin
 }
 
 // formsLoop reports whether a peer with this path follows this host, or has a path so long
@@ -113,7 +110,7 @@
 	if stale && f.sourceVerified {
 		fx.Records = append(fx.Records, decision.Warning("source_stale",
 			decision.String("peer", f.current), decision.Uint("revision", f.view.Revision),
-			decision.Millis("waited", now.Mono-f.callStartedAt), decision.Millis("contact_age", now.Mono-f.lastContactAt)))
+			decision.Millis("waited", now.Mono-f.callStartedAt), decision.Millis("contact_age", now.Mono-f.contactAt)))
 	}
 	if stale {
 		f.unavailableUntil[f.current] = now.Mono + stalePeerRetryDelay
--- a/internal/gateway/catalog.go
+++ b/internal/gateway/catalog.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pollentack.example/pollentack/internal/core/discovery"
+	"pollentack.example/pollentack/internal/edge/sysclock"
 	"pollentack.example/pollentack/internal/wire"
 )
 
@@ -23,24 +24,24 @@
 // catalogServer serves the items of the store to the peers that follow this host. The discovery
 // duty updates it, and the call handlers of the mesh read it.
 type catalogServer struct {
-	log  zerolog.Logger
-	self string
+	log   zerolog.Logger
+	self  string
+	clock sysclock.Clock
 
-	mu       sync.Mutex
-	items    map[string]discovery.Item
-	revision uint64
-	// knownSince is the revision since which items holds all deletions.
-	knownSince uint64
-	fresh      bool
+	mu    sync.Mutex
+	items map[string]discovery.Item
+	// progress is the last progress of the discovery core, with the highest Revision and
+	// KnownSince so far.
+	progress discovery.Progress
 	// path holds the names of the hosts through which this host receives changes of the store,
 	// beginning with its own.
 	path []string
-	// changed is closed and replaced on each change.
+	// changed is closed and replaced on each change, also of progress.ContactAt.
 	changed chan struct{}
 }
 
-func newCatalogServer(self string, log zerolog.Logger) *catalogServer {
-	return &catalogServer{log: log, self: self, path: []string{self}, items: map[string]discovery.Item{}, changed: make(chan struct{})}
+func newCatalogServer(self string, clk sysclock.Clock, log zerolog.Logger) *catalogServer {
+	return &catalogServer{log: log, self: self, clock: clk, path: []string{self}, items: map[string]discovery.Item{}, changed: make(chan struct{})}
 }
 
 // update applies the items and the progress that a step of the discovery core returned, and
@@ -56,11 +57,12 @@
 	}
 	changed := len(items) > 0
 	if p != nil {
-		changed = changed || p.Revision > c.revision || p.Fresh != c.fresh
-		c.revision = max(c.revision, p.Revision)
-		c.fresh = p.Fresh
-		c.knownSince = max(c.knownSince, p.KnownSince)
+		last := c.progress
+		c.progress = *p
+		c.progress.Revision = max(last.Revision, p.Revision)
+		c.progress.KnownSince = max(last.KnownSince, p.KnownSince)
 		c.path = append([]string{c.self}, p.Path...)
+		changed = changed || c.progress.Revision > last.Revision || p.Fresh != last.Fresh || p.ContactAt > last.ContactAt
 	}
 	if changed {
 		close(c.changed)
@@ -68,37 +70,44 @@
 	}
 }
 
-// serve handles a watch of a peer. It replies once there are newer items or this host has lost
-// contact with the store, and otherwise when the peer's wait time has passed.
+// serve handles a watch of a peer. It replies once there are newer items, this host has heard from
+// the store again or has lost contact with it, and otherwise when the peer's wait time has passed.
+// A host whose call to the store is unanswered for too long has lost contact, although that call
+// has not failed yet.
 func (c *catalogServer) serve(from string, payload []byte) []byte {
 	in := &wire.CatalogRequest{}
 	if err := proto.Unmarshal(payload, in); err != nil {
 		c.log.Warn().Str("event", "peer_call_malformed").Str("peer", from).Err(err).Send()
 		return nil
 	}
-	wait := min(time.Duration(in.GetWaitMs())*time.Millisecond, maxCatalogWait)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	begin := c.clock.Now().Mono
+	deadline := begin + min(time.Duration(in.GetWaitMs())*time.Millisecond, maxCatalogWait)
 	for {
-		reply, changed := c.since(in.GetAfter())
-		if len(reply.GetItems()) > 0 || !reply.GetFresh() {
+		now := c.clock.Now().Mono
+		reply, p, changed := c.since(in.GetAfter(), now)
+		if len(reply.GetItems()) > 0 || !reply.GetFresh() || p.ContactAt > begin || now >= deadline {
 			return marshal(reply)
 		}
+		timer := time.NewTimer(min(deadline, p.FreshUntil) - now)
 		select {
 		case <-changed:
 		case <-timer.C:
-			return marshal(reply)
 		}
+		timer.Stop()
 	}
 }
 
 // since returns the items that changed after a revision, oldest first and limited to the size of
-// a reply, and a channel that is closed on the next change.
-func (c *catalogServer) since(after uint64) (*wire.CatalogReply, <-chan struct{}) {
+// a reply, the progress at the time now, and a channel that is closed on the next change.
+func (c *catalogServer) since(after uint64, now time.Duration) (*wire.CatalogReply, discovery.Progress, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	reply := &wire.CatalogReply{Revision: c.revision, Fresh: c.fresh, Path: c.path, KnownSince: c.knownSince}
-	reply.HasLive = after > 0 && after < c.knownSince
+	p := c.progress
+	reply := &wire.CatalogReply{
+		Revision: p.Revision, Fresh: p.FreshAt(now), Path: c.path, KnownSince: p.KnownSince,
+		ContactAgeMs: (now - p.ContactAt).Milliseconds(),
+	}
+	reply.HasLive = after > 0 && after < p.KnownSince
 	var items []discovery.Item
 	for key, it := range c.items {
 		if it.Revision > after {
@@ -123,7 +132,7 @@
 		}
 		reply.Items = append(reply.Items, wire.FromItem(&items[i]))
 	}
-	return reply, c.changed
+	return reply, p, c.changed
 }
 
 // marshal encodes a message that this package has built. It fails only if a text field is not
--- a/internal/gateway/catalog_test.go
+++ b/internal/gateway/catalog_test.go
@@ -3,25 +3,70 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"pollentack.example/pollentack/internal/core/discovery"
+	"pollentack.example/pollentack/internal/edge/sysclock"
+	"pollentack.example/pollentack/internal/wire"
 )
 
 // TestCatalogNamesItemsToPeersFromBefore checks that a peer whose revision is older than the record of
 // deletions gets the hashes of all items, and others only the changes.
 func TestCatalogNamesItemsToPeersFromBefore(t *testing.T) {
-	c := newCatalogServer("self", zerolog.Nop())
+	c := newCatalogServer("self", sysclock.New(), zerolog.Nop())
 	c.update([]discovery.Item{{Key: "a", Revision: 5}, {Key: "b", Revision: 8, Deleted: true}, {Key: "c", Revision: 20}},
 		&discovery.Progress{Revision: 20, Fresh: true, KnownSince: 20})
-	old, _ := c.since(10)
+	old, _, _ := c.since(10, 0)
 	if want := []uint64{discovery.KeyHash("a"), discovery.KeyHash("c")}; !old.GetHasLive() || len(old.GetLive()) != 2 || !slices.Contains(old.GetLive(), want[0]) || !slices.Contains(old.GetLive(), want[1]) {
 		t.Errorf("reply to an old revision names %v, want %v", old.GetLive(), want)
 	}
 	for _, after := range []uint64{0, 20, 25} {
-		if reply, _ := c.since(after); reply.GetHasLive() || len(reply.GetLive()) > 0 || reply.GetKnownSince() != 20 {
+		if reply, _, _ := c.since(after, 0); reply.GetHasLive() || len(reply.GetLive()) > 0 || reply.GetKnownSince() != 20 {
 			t.Errorf("reply after %d: %+v", after, reply)
 		}
 	}
 }
+
+// TestHostWithUnansweredCallStopsCountingAsUpToDate guards against followers that learn only with the
+// end of their host's call to the store that it has lost contact.
+func TestHostWithUnansweredCallStopsCountingAsUpToDate(t *testing.T) {
+	const freshFor, wait = 100 * time.Millisecond, 10 * time.Second
+	clk := sysclock.New()
+	c := newCatalogServer("self", clk, zerolog.Nop())
+	contact := clk.Now().Mono
+	c.update(nil, &discovery.Progress{Revision: 5, Fresh: true, ContactAt: contact, FreshUntil: contact + freshFor})
+	reply := serveWatch(t, c, 5, wait)
+	if reply.GetFresh() {
+		t.Errorf("reply after %v is %+v, want one that is not fresh", clk.Now().Mono-contact, reply)
+	}
+}
+
+// TestFollowerHearsOfItsHostsContact checks that a watch ends when the host hears from the store,
+// with the age of that contact, so that a follower knows how old its data may be.
+func TestFollowerHearsOfItsHostsContact(t *testing.T) {
+	const wait = 10 * time.Second
+	clk := sysclock.New()
+	c := newCatalogServer("self", clk, zerolog.Nop())
+	progress := discovery.Progress{Revision: 5, Fresh: true, ContactAt: 0, FreshUntil: time.Minute}
+	c.update(nil, &progress)
+	time.AfterFunc(20*time.Millisecond, func() {
+		progress.ContactAt = clk.Now().Mono
+		c.update(nil, &progress)
+	})
+	reply := serveWatch(t, c, 5, wait)
+	if age := time.Duration(reply.GetContactAgeMs()) * time.Millisecond; !reply.GetFresh() || age >= wait {
+		t.Errorf("reply is %+v, want a fresh one with the age of the contact", reply)
+	}
+}
+
+func serveWatch(t *testing.T, c *catalogServer, after uint64, wait time.Duration) *wire.CatalogReply {
+	t.Helper()
+	reply := &wire.CatalogReply{}
+	if err := proto.Unmarshal(c.serve("peer", marshal(&wire.CatalogRequest{After: after, WaitMs: wait.Milliseconds()})), reply); err != nil {
+		t.Fatal(err)
+	}
+	return reply
+}
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
@@ -52,11 +53,11 @@
 func newDiscoveryDuty(s *Settings, store Store, clk sysclock.Clock, seed uint64, log zerolog.Logger) *discoveryDuty {
 	d := &discoveryDuty{
 		clock:    clk,
-		follower: discovery.New(discovery.Config{Self: s.Host, WaitForPeers: s.FirstStart, ApplyBound: s.ApplyBound, Seed: seed}),
+		follower: discovery.New(discovery.Config{Self: s.Host, WaitForPeers: s.FirstStart, ApplyBound: s.ApplyBound, RemovalBound: s.RemovalBound, Seed: seed}),
 		inbox:    ring.New[discovery.Event]("discovery", discoveryCapacity),
 		calls:    ring.New[*discovery.Call]("store", 1),
 		store:    store,
-		catalog:  newCatalogServer(s.Host, log),
+		catalog:  newCatalogServer(s.Host, clk, log),
 	}
 	d.view.Store(catalog.NewView())
 	return d
@@ -120,6 +121,7 @@
 	}
 	ev := &discovery.Changes{
 		Revision: reply.GetRevision(), Stale: !reply.GetFresh(), Path: reply.GetPath(),
+		ContactAge: time.Duration(max(0, reply.GetContactAgeMs())) * time.Millisecond,
 		KnownSince: reply.GetKnownSince(), Live: reply.GetLive(), HasLive: reply.GetHasLive(),
 	}
 	for _, it := range reply.GetItems() {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -22,6 +22,9 @@
 	// ApplyBound is the longest time in which a published change must be in force, 0 for the
 	// default.
 	ApplyBound time.Duration
+	// RemovalBound is the longest time in which a target whose entry was deleted must be out of use,
+	// 0 for the default.
+	RemovalBound time.Duration
 	// Grace is the time between the stop signal and the forced end of the process.
 	Grace time.Duration
 	// MinDrain is the minimum time for which a stopping host still accepts requests. It is part
@@ -43,10 +46,14 @@
 	listen             ListenAddresses
 	store              string
 	applyBound         time.Duration
+	removalBound       time.Duration
 }
 
 func (s *Settings) static() staticSettings {
-	return staticSettings{host: s.Host, zone: s.Zone, region: s.Region, listen: s.Listen, store: s.Store, applyBound: s.ApplyBound}
+	return staticSettings{
+		host: s.Host, zone: s.Zone, region: s.Region, listen: s.Listen, store: s.Store,
+		applyBound: s.ApplyBound, removalBound: s.RemovalBound,
+	}
 }
 
 // ListenAddresses holds the addresses that the gateway listens on.
