A call to a host ends in time while the dial to it hangs

What callers would see: a follower that has just fallen back to the store tries the host that it followed again. If that host lost power, the dial hangs for 2 s (handshakeTimeout), although the call has 0.7 s; with the delay before a removal (2 s) a target whose entry goes meanwhile stays in use for more than the 4 s of drain_ms. Gossip with an address waits as long, with one exchange at a time.

Cause: Mesh.Call says that it waits at most its timeout, but dialed on the caller's thread with the time-outs of the handshake, up to 2 s each for dial, TLS and hello. Found by reading.

Change: a dial runs on a worker of the links, and the call waits for it until its deadline. The dial goes on: calls with less time than a dial takes must not keep the link from being made.

--- a/internal/edge/mesh/call.go
+++ b/internal/edge/mesh/call.go
@@ -51,15 +51,10 @@
 func (m *Mesh) CallAddress(address string, kind wire.CallKind, payload []byte, timeout time.Duration) ([]byte, error) {
 	deadline := time.Now().Add(timeout)
 	m.counters.callsMade.Add(1)
-	l, err := m.connect(release.Host{MeshAddress: address})
+	l, err := m.dialWithin(release.Host{MeshAddress: address}, deadline, func() {})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	if err := m.linkWorkers.Submit(l.serve); err != nil {
-		l.close()
-		m.unregister(l)
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-	}
 	return m.callOn(l, deadline, kind, payload)
 }
 
@@ -121,7 +116,7 @@
 			}
 			continue
 		}
-		if l, err = m.dialOnDemand(host); err == nil {
+		if l, err = m.dialWithin(host, deadline, func() { m.finishDial(name) }); err == nil {
 			return l, nil
 		}
 		time.Sleep(min(crossedDialWait, max(0, time.Until(deadline))))
@@ -162,18 +157,34 @@
 	}
 }
 
-func (m *Mesh) dialOnDemand(host release.Host) (*link, error) {
-	defer m.finishDial(host.Name)
-	l, err := m.connect(host)
+// dialWithin makes a link to a host, on a worker that calls ended once the dial is over. A dial that
+// takes longer than the deadline goes on, for later calls.
+func (m *Mesh) dialWithin(host release.Host, deadline time.Time, ended func()) (*link, error) {
+	type outcome struct {
+		link *link
+		err  error
+	}
+	done := make(chan outcome, 1)
+	err := m.linkWorkers.Submit(func() {
+		l, err := m.connect(host)
+		ended()
+		done <- outcome{l, err}
+		if err == nil {
+			l.serve()
+		}
+	})
 	if err != nil {
+		ended()
 		return nil, err
 	}
-	if err := m.linkWorkers.Submit(l.serve); err != nil {
-		l.close()
-		m.unregister(l)
-		return nil, err
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case o := <-done:
+		return o.link, o.err
+	case <-timer.C:
+		return nil, fmt.Errorf("dial host %q at %s: %w", host.Name, host.MeshAddress, os.ErrDeadlineExceeded)
 	}
-	return l, nil
 }
 
 // serveCalls serves the calls on a stream, one after another, until the peer closes it. The first
