A watch of a peer ends in time on a link that takes no more bytes

What callers would see: a host follows one that freezes while requests that were handed to it fill the link between them. Its next watch isn't written; the session waits for room for 3 s, to open a stream and again to write. With the delay before a removal, a target that leaves meanwhile stays in use for longer than drain_ms.

Cause: the deadline of a stream doesn't bound the session's send queue, only ConnectionWriteTimeout does. Such a failure had no probe follow either, so that the link stayed until a keep-alive found it.

Change: the discovery duty makes a watch of a peer on a worker and gives it up at its timeout. A call that fails for want of room probes its link too, which is closed after 1.5 s without an answer. Handoffs keep the timeouts of the session: a hop between threads for each of them isn't worth it here.

Test, with the call made as before: TestWatchOfPeerEndsInTimeOnStuckLink failed, "a watch with a timeout of 100ms took 6.000715347s"; holds now.

--- a/internal/edge/mesh/call.go
+++ b/internal/edge/mesh/call.go
@@ -62,6 +62,7 @@
 	defer l.countCall()()
 	stream, err := l.streams.take()
 	if err != nil {
+		l.probeAfter(err)
 		return nil, fmt.Errorf("%w: open stream to %q: %w", ErrNotSent, l.peer, err)
 	}
 	if err := stream.SetDeadline(deadline); err != nil {
@@ -74,15 +75,21 @@
 	} else {
 		_ = stream.Close()
 	}
-	switch {
-	case err == nil && m.options.ObserveRTT != nil:
+	if err == nil && m.options.ObserveRTT != nil {
 		m.options.ObserveRTT(l.peer, kind, time.Since(start))
-	case errors.Is(err, yamux.ErrTimeout):
-		l.probe()
 	}
+	l.probeAfter(err)
 	return reply, err
 }
 
+// probeAfter probes the link if a call on it timed out, waiting for the reply or, on a link that takes
+// no more bytes, before the request was written.
+func (l *link) probeAfter(err error) {
+	if errors.Is(err, yamux.ErrTimeout) || errors.Is(err, yamux.ErrConnectionWriteTimeout) {
+		l.probe()
+	}
+}
+
 func (m *Mesh) roundTrip(stream *yamux.Stream, req *wire.Request) ([]byte, error) {
 	err := writeFrame(stream, req, wire.MaxCallBytes)
 	if errors.Is(err, wire.ErrOversized) {
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +35,14 @@
 // small, since one call is in progress at a time.
 const discoveryCapacity = 16
 
+// maxPeerCalls bounds the calls to peers that are in progress. One that has timed out may go on for
+// some seconds on a link whose peer reads nothing.
+const maxPeerCalls = 4
+
+// peerCallOverrun is how long after its timeout a call to a peer is given up. It lets the call end
+// by itself, with its own error.
+const peerCallOverrun = 20 * time.Millisecond
+
 // discoveryDuty is the duty that owns the discovery core, which follows the store.
 type discoveryDuty struct {
 	clock    sysclock.Clock
@@ -45,12 +55,17 @@
 	view     atomic.Pointer[catalog.View]
 	// catalog serves the items to the peers that follow this host. mesh calls the peers that
 	// this host follows, and decode decodes their items.
-	catalog *catalogServer
-	mesh    *mesh.Mesh
-	decode  func(key string, value []byte, revision uint64, deleted bool) discovery.Item
+	catalog   *catalogServer
+	mesh      *mesh.Mesh
+	peerCalls *duty.Workers
+	decode    func(key string, value []byte, revision uint64, deleted bool) discovery.Item
 }
 
-func newDiscoveryDuty(s *Settings, store Store, clk sysclock.Clock, seed uint64, log zerolog.Logger) *discoveryDuty {
+func newDiscoveryDuty(s *Settings, store Store, clk sysclock.Clock, seed uint64, log zerolog.Logger) (*discoveryDuty, error) {
+	peerCalls, err := duty.NewWorkers(maxPeerCalls)
+	if err != nil {
+		return nil, err
+	}
 	d := &discoveryDuty{
 		clock:    clk,
 		follower: discovery.New(discovery.Config{Self: s.Host, WaitForPeers: s.FirstStart, ApplyBound: s.ApplyBound, RemovalBound: s.RemovalBound, Seed: seed}),
@@ -58,9 +73,11 @@
 		calls:    ring.New[*discovery.Call]("store", 1),
 		store:    store,
 		catalog:  newCatalogServer(s.Host, clk, log),
+
+		peerCalls: peerCalls,
 	}
 	d.view.Store(catalog.NewView())
-	return d
+	return d, nil
 }
 
 // duties returns the duties in the order in which they start. They stop in reverse order, so the
@@ -110,8 +127,7 @@
 	if call.Peer == "" {
 		return d.store.Do(call)
 	}
-	request := marshal(&wire.CatalogRequest{After: call.AfterRevision, WaitMs: call.Wait.Milliseconds()})
-	payload, err := d.mesh.Call(call.Peer, wire.CallKind_CALL_KIND_CATALOG, request, call.Timeout)
+	payload, err := d.callPeer(call)
 	reply := &wire.CatalogReply{}
 	if err == nil {
 		err = proto.Unmarshal(payload, reply)
@@ -130,6 +146,32 @@
 	return ev
 }
 
+// callPeer makes a call to a peer on a worker, and gives it up at its timeout: a link that takes no
+// more bytes holds a call for longer.
+func (d *discoveryDuty) callPeer(call *discovery.Call) ([]byte, error) {
+	type outcome struct {
+		payload []byte
+		err     error
+	}
+	request := marshal(&wire.CatalogRequest{After: call.AfterRevision, WaitMs: call.Wait.Milliseconds()})
+	done := make(chan outcome, 1)
+	err := d.peerCalls.Submit(func() {
+		payload, err := d.mesh.Call(call.Peer, wire.CallKind_CALL_KIND_CATALOG, request, call.Timeout)
+		done <- outcome{payload, err}
+	})
+	if err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(call.Timeout + peerCallOverrun)
+	defer timer.Stop()
+	select {
+	case o := <-done:
+		return o.payload, o.err
+	case <-timer.C:
+		return nil, fmt.Errorf("watch peer %q: %w", call.Peer, os.ErrDeadlineExceeded)
+	}
+}
+
 // maxRemoteSources is the number of hosts in other availability zones that a host falls back to
 // if it can reach neither the store nor a host in its own zone.
 const maxRemoteSources = 2
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,7 +123,9 @@
 	// If the ring is full, the measurement is dropped. The next exchange measures again.
 	g.fleet.onRoundTrip = func(zone string, took time.Duration) { g.relay.put(&relay.RTTMeasured{Zone: zone, RTT: took}) }
 	g.upstream.handoffs = newHandoffs(g.clock, g.fleet.mesh, g.relay, g.waiters, g.log, o.Tracer)
-	g.discovery = newDiscoveryDuty(g.settings, o.Store, g.clock, seed, g.log)
+	if g.discovery, err = newDiscoveryDuty(g.settings, o.Store, g.clock, seed, g.log); err != nil {
+		return err
+	}
 	g.discovery.mesh = g.fleet.mesh
 	g.discovery.decode = o.DecodeItem
 	g.fleet.mesh.Handle(wire.CallKind_CALL_KIND_CATALOG, g.discovery.catalog.serve)
