A conviction is told among many crashes of other targets

What callers saw: a request that crashes leafs was held back at every host. Leafs of another service crashed, the hosts were stopped and started in turn, and the request reached leafs in four retries, 3 are allowed.

Cause: a message that repeats what is known, and the answer to a host that has started, hold the 64 fingerprints that changed last. Each crash leaves one for each request that the target ran, for two minutes, so that a few crashes push a conviction out of all messages. It dies with the last host that knew it.

Change: in the message that repeats what is known half of the room goes to the fingerprints with the most evidence; the answer to a host that asks holds up to 256 of these, in messages of 64.

Test: TestConvictionIsToldAmongManyCrashes failed before ("the message that repeats what is known lacks the conviction", "the answer to a host that has started lacks the conviction"); holds now.

--- a/internal/core/quarantine/suspects.go
+++ b/internal/core/quarantine/suspects.go
@@ -221,6 +221,17 @@
 	return list[:min(len(list), limit)]
 }
 
+// Strongest returns up to limit fingerprints, those with the most evidence first: by the crashes alone,
+// all crashes and the time of the last change.
+func (s *Suspects) Strongest(now time.Duration, limit int) []Fingerprint {
+	list := s.Newest(now, len(s.entries))
+	slices.SortStableFunc(list, func(a, b Fingerprint) int {
+		ea, eb := s.entries[a], s.entries[b]
+		return cmp.Or(cmp.Compare(len(eb.alone), len(ea.alone)), cmp.Compare(len(eb.crashes), len(ea.crashes)))
+	})
+	return list[:min(len(list), limit)]
+}
+
 func (s *Suspects) expiry(e *suspect) time.Duration {
 	if e.convicted() {
 		return e.changedAt + s.cfg.ConvictFor
--- a/internal/core/relay/crash_test.go
+++ b/internal/core/relay/crash_test.go
@@ -196,3 +196,49 @@
 		t.Errorf("a peer that asked was told %+v", sim.tells)
 	}
 }
+
+// TestConvictionIsToldAmongManyCrashes guards against a conviction that is forgotten when the hosts
+// that know it are restarted one after the other: the crashes of another service leave more newer
+// fingerprints than a message holds.
+func TestConvictionIsToldAmongManyCrashes(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.step(&MembersChanged{Members: members(2)})
+	sim.warmUp()
+	sim.crashOn("/bad", 300*time.Millisecond)
+	for range 4 {
+		sim.submit("/one/bad")
+		sim.advance(timeout)
+	}
+	convicted := fingerprintOf(&Request{Host: "h", Path: "/one/bad", Target: "/one/bad"})
+	if _, ok := sim.engine.crash.suspects.Convicted(sim.now.Mono, convicted); !ok {
+		t.Fatal("the request is not convicted")
+	}
+	for i := range quarantine.Fingerprint(3 * maxFactsPerMessage) {
+		sim.engine.crash.suspects.RecordCrash(sim.now.Mono, i+1, quarantine.CrashID(i+1), false)
+	}
+	told := func() bool {
+		for _, tell := range sim.tells {
+			for i := range tell.Facts {
+				if tell.Facts[i].Fingerprint == convicted {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	sim.tells = nil
+	sim.advance(syncInterval + time.Millisecond)
+	if !told() {
+		t.Error("the message that repeats what is known lacks the conviction")
+	}
+	sim.tells = nil
+	sim.step(&FactsReceived{From: "p1", Ask: true})
+	if !told() {
+		t.Error("the answer to a host that has started lacks the conviction")
+	}
+	for _, tell := range sim.tells {
+		if len(tell.Facts) > maxFactsPerMessage {
+			t.Errorf("a message has %d facts, want at most %d", len(tell.Facts), maxFactsPerMessage)
+		}
+	}
+}
--- a/internal/core/relay/crashfacts.go
+++ b/internal/core/relay/crashfacts.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"pollentack.example/pollentack/internal/core/clock"
@@ -22,8 +23,12 @@
 	maxDirectPeers = 16
 	// peersToAsk is the number of peers that a host which has started asks what they know.
 	peersToAsk = 3
-	// maxFactsPerMessage bounds the fingerprints in one message.
+	// maxFactsPerMessage bounds the fingerprints in one message. In a message that repeats what is
+	// known, half of them are those with the most evidence: the crash of a busy target leaves a
+	// fingerprint for each request that it ran.
 	maxFactsPerMessage = 64
+	// maxFactsPerAnswer bounds the fingerprints that a peer which asks is told, in several messages.
+	maxFactsPerAnswer = 4 * maxFactsPerMessage
 )
 
 // Tell sends facts about crashes to a peer. A lost message is made up for by a later one.
@@ -54,9 +59,10 @@
 }
 
 func (e *Engine) factsReceived(now clock.Instant, ev *FactsReceived, fx *Effects) {
-	if ev.Ask && e.crash.suspects.Len() > 0 {
-		facts := e.facts(now, e.crash.suspects.Newest(now.Mono, maxFactsPerMessage))
-		fx.Tells = append(fx.Tells, Tell{Peer: ev.From, Facts: facts})
+	if ev.Ask {
+		for prints := range slices.Chunk(e.crash.suspects.Strongest(now.Mono, maxFactsPerAnswer), maxFactsPerMessage) {
+			fx.Tells = append(fx.Tells, Tell{Peer: ev.From, Facts: e.facts(now, prints)})
+		}
 	}
 	for i := range ev.Facts {
 		news := e.crash.suspects.Merge(now.Mono, &ev.Facts[i])
@@ -96,7 +102,8 @@
 	}
 	if e.crash.suspects.Len() > 0 && now.Mono >= e.crash.syncAt {
 		e.crash.syncAt = now.Mono + syncInterval
-		facts := e.facts(now, e.crash.suspects.Newest(now.Mono, maxFactsPerMessage))
+		prints := e.crash.suspects.Strongest(now.Mono, maxFactsPerMessage/2)
+		facts := e.facts(now, append(prints, e.crash.suspects.Newest(now.Mono, maxFactsPerMessage)...))
 		for _, host := range e.peersToTell(1) {
 			fx.Tells = append(fx.Tells, Tell{Peer: host, Facts: facts})
 		}
