Three requests convict where nobody is left who knows

What callers saw: a request that crashes leafs was held back at every host. All hosts were killed at once, and the request reached leafs in four retries, 3 are allowed.

Cause: what hosts know is in their memories only, and to find out again took four requests that may run once each: two until the next one runs alone, and two alone.

Change: the next request after one crash that no target answered runs alone already, so that the first and two alone convict. A request is still repeated after one crash and no longer after two, as before (CrashesToHold, split from CrashesToSuspect). An innocent request that was at a target which crashed is answered in its next copy and cleared.

Tests: TestRestartedHostConvictsWithThreeRequests failed before ("ended with 301 outcome_unknown, want 110 quarantined"), holds now. Two tests that counted with CrashesToSuspect use CrashesToHold, which has its value.

--- a/internal/core/quarantine/suspects.go
+++ b/internal/core/quarantine/suspects.go
@@ -10,12 +10,16 @@
 const (
 	// CrashesToSuspect is the number of targets that must have crashed under requests with one
 	// fingerprint, none of which was answered, for the next one to run alone.
-	CrashesToSuspect = 2
+	CrashesToSuspect = 1
+	// CrashesToHold is the number of such crashes after which a request is not repeated.
+	CrashesToHold = 2
 	// CrashesToConvict is the number of crashes that convict a fingerprint, if at least
 	// crashesAloneToConvict of them happened under requests that ran alone. One may be a
-	// coincidence: targets also crash for other reasons, and others may crash them.
+	// coincidence: targets also crash for other reasons, and others may crash them. All of them
+	// can come of CrashesToConvict requests, so that hosts which all start again at once find out
+	// with no more than these.
 	CrashesToConvict      = 3
-	crashesAloneToConvict = 2
+	crashesAloneToConvict = CrashesToConvict - CrashesToSuspect
 	// cleanTolerance is the number of crashes since the last answer after which a fingerprint
 	// that was answered lately may be suspect again.
 	cleanTolerance = 3
--- a/internal/core/relay/crash.go
+++ b/internal/core/relay/crash.go
@@ -16,8 +16,8 @@
 // A request may crash each target that begins to run it, and its caller sends it again. A lost
 // connection alone does not show it: targets reset connections for other reasons. So a target that
 // loses a connection is checked whether it still listens. A request under which targets crash and
-// that none of them answers is suspect: it is not repeated, and the next request with its
-// fingerprint runs alone, at one target at a time, until one answers. Crashes under such requests
+// that none of them answers is suspect: the next request with its fingerprint runs alone, at one
+// target at a time, until one answers, and after a second crash it is not repeated. Crashes under such requests
 // convict the fingerprint, unless this host saw it answered lately.
 
 const (
@@ -152,15 +152,14 @@
 )
 
 // holdOf returns the hold on a shard given the crashes under the request: a suspect request tries
-// one shard, and no request is repeated while a check is in progress or after CrashesToSuspect
-// crashes.
+// one shard, and no request is repeated while a check is in progress or after CrashesToHold crashes.
 func (e *Engine) holdOf(now clock.Instant, r *request, i int) hold {
 	sh := &r.shards[i]
 	checking := r.checks > 0 && now.Mono < r.checkedBy
 	switch {
 	case r.answered:
 		return notHeld
-	case r.ran && !checking && e.crashes(now, r) >= quarantine.CrashesToSuspect:
+	case r.ran && !checking && e.crashes(now, r) >= quarantine.CrashesToHold:
 		return heldForGood
 	case r.suspect && i != r.soloShard, checking && sh.delivered > 0 && r.mayDispatch(sh):
 		return heldForNow
--- a/internal/core/relay/crash_test.go
+++ b/internal/core/relay/crash_test.go
@@ -69,9 +69,9 @@
 		sim.submit("/one/bad")
 		sim.advance(timeout)
 	}
-	const suspects, alone = quarantine.CrashesToSuspect, 2
-	if sim.crashed != suspects+alone {
-		t.Errorf("%d targets crashed, want %d that make it suspect and %d alone", sim.crashed, suspects, alone)
+	const held, alone = quarantine.CrashesToHold, 2
+	if sim.crashed != held+alone {
+		t.Errorf("%d targets crashed, want %d until it is not repeated and %d alone", sim.crashed, held, alone)
 	}
 	sim.wantCodeOf("/one/bad", result.Quarantined)
 	sim.wantCodeOf("/one/x", result.OK)
@@ -92,8 +92,8 @@
 	}
 	sim.step(&Submit{Request: beside})
 	sim.advance(timeout)
-	if n := sim.engine.crash.suspects.Crashes(sim.now.Mono, fingerprintOf(beside)); n < quarantine.CrashesToSuspect {
-		t.Fatalf("%d crashes count against the query, want at least %d", n, quarantine.CrashesToSuspect)
+	if n := sim.engine.crash.suspects.Crashes(sim.now.Mono, fingerprintOf(beside)); n < quarantine.CrashesToHold {
+		t.Fatalf("%d crashes count against the query, want at least %d", n, quarantine.CrashesToHold)
 	}
 	clear(sim.behaviors)
 	clear(sim.refusing)
@@ -242,3 +242,22 @@
 		}
 	}
 }
+
+// TestRestartedHostConvictsWithThreeRequests guards against a request that reaches more targets than
+// allowed after all hosts were killed at once: nobody is left who knows it, and three requests that
+// may run once each must be enough to find out again.
+func TestRestartedHostConvictsWithThreeRequests(t *testing.T) {
+	const requests = 3
+	sim := newSimulation(t, 1)
+	sim.warmUp()
+	sim.crashOn("/bad", 300*time.Millisecond)
+	for range requests {
+		sim.submit("/once/bad")
+		sim.advance(timeout)
+	}
+	if sim.crashed != requests {
+		t.Errorf("%d targets crashed under %d requests", sim.crashed, requests)
+	}
+	sim.wantCodeOf("/once/bad", result.Quarantined)
+	sim.wantCodeOf("/once/x", result.OK)
+}
