Cold targets get no request of every host at once

What callers saw: the leafs of a service came back cold, and each got a request of all nine hosts within milliseconds, where 6.5 in a second are allowed; leafs crash at that.

Cause: each host has a bucket of one token or more, which begin empty at the same moment, so that the first tokens of all are whole at the same moment too. Random first levels alone don't help, since buckets that nobody uses are all full in the end.

Change: the buckets of all hosts hold together no more than the bound allows beyond the rate, less a fifth (cold_factor and cold_slack of the settings). With more hosts than that some share a target, in the turns that small limits have. Until a host that has started knows its peers it reckons with InitialHosts.

Test: TestColdTargetsGetNoRequestOfEveryHostAtOnce, on the code before: "9 hosts, 1 a second: one@z0 got 7 requests in the second until 11s, want at most 6.5", "85 hosts, 53 a second: one@z0 got 85 ..., want at most 84.5"; holds now.

--- a/internal/core/relay/dispatch.go
+++ b/internal/core/relay/dispatch.go
@@ -109,7 +109,7 @@
 	}
 	e.attempts[a.id] = a
 	t.open = append(t.open, a)
-	t.allowCold(now.Mono, sh.service, e.hosts, true)
+	t.allowCold(now.Mono, sh.service, true)
 	sh.open = append(sh.open, a)
 	sh.tried = append(sh.tried, t)
 	sh.sends++
--- a/internal/core/relay/engine.go
+++ b/internal/core/relay/engine.go
@@ -27,6 +27,7 @@
 	// Regions maps each availability zone to its region.
 	Regions map[string]string
 	Retry   RetryPolicy
+	Cold    ColdPolicy
 	// MaxRequests is the maximum number of requests in progress.
 	MaxRequests int
 	// InitialHosts is the assumed number of hosts that share the targets until the first
@@ -106,7 +107,7 @@
 	timers        timerHeap
 	lastAttemptID AttemptID
 	crash         crashWatch
-	// restricted holds the targets that name a limit or want a pause. limitTurn numbers the turn
+	// restricted holds the targets that name a limit, want a pause or are cold. limitTurn numbers the turn
 	// of the hosts that share small limits.
 	restricted map[*target]bool
 	limitTurn  int64
@@ -255,7 +256,7 @@
 	}
 	if spec.Revision != t.spec.Revision && spec.ColdRemaining > 0 {
 		t.coldUntil = now.Mono + spec.ColdRemaining
-		t.coldAt = now.Mono
+		t.cold = coldShare{filledAt: now.Mono}
 	}
 	t.spec = spec
 }
@@ -338,6 +339,9 @@
 		}
 		for _, t := range s.targets {
 			t.quota = connectionQuota(limit, e.connectingHosts(name, t.region))
+			if s.limitsCold(now.Mono, t) {
+				e.restricted[t] = true
+			}
 		}
 	}
 	e.updateLimitShares(now)
--- a/internal/core/relay/handoff.go
+++ b/internal/core/relay/handoff.go
@@ -202,7 +202,7 @@
 func (e *Engine) hasSoundTarget(now clock.Instant, s *service, region string, granted map[string]int) bool {
 	for _, t := range s.targets {
 		zone := t.spec.Zone
-		if t.region != region || t.draining() || e.view.EvacuatedZones[zone] || !t.allowCold(now.Mono, s, e.hosts, false) || !t.limit.allows(now.Mono) || now.Mono < t.pausedUntil {
+		if t.region != region || t.draining() || e.view.EvacuatedZones[zone] || !t.allowCold(now.Mono, s, false) || !t.limit.allows(now.Mono) || now.Mono < t.pausedUntil {
 			continue
 		}
 		if e.rank(now.Mono, s, t, granted[zone]).tier == tierHealthy {
--- a/internal/core/relay/limit.go
+++ b/internal/core/relay/limit.go
@@ -133,7 +133,7 @@
 }
 
 // isLimitSharer reports whether this host is one of the given number of hosts whose turn it is to
-// share a target's limit. All hosts with the same members and about the same time come to the same
+// share a target's limit, or its requests while it is cold. All hosts with the same members and about the same time come to the same
 // choice.
 func (e *Engine) isLimitSharer(t *target, sharers int) bool {
 	var names []string
@@ -156,12 +156,17 @@
 func (e *Engine) updateLimitShares(now clock.Instant) {
 	e.limitTurn = int64(now.Wall / limitTurn)
 	for t := range e.restricted {
-		switch {
-		case t.removed || t.limit == nil && now.Mono >= t.pausedUntil:
+		cold := e.services[t.spec.Service].limitsCold(now.Mono, t)
+		if t.removed || t.limit == nil && !cold && now.Mono >= t.pausedUntil {
 			delete(e.restricted, t)
-		case t.limit != nil:
+			continue
+		}
+		if t.limit != nil {
 			e.shareLimit(now, t)
 		}
+		if cold {
+			e.shareCold(now, t)
+		}
 	}
 }
 
--- a/internal/core/relay/target.go
+++ b/internal/core/relay/target.go
@@ -63,11 +63,9 @@
 	lastFailureRate   float64
 	lastFailureRateAt time.Duration
 
-	// Until coldUntil the target is cold and the requests to it are limited by a token bucket:
-	// coldTokens is its level at coldAt.
-	coldUntil  time.Duration
-	coldTokens float64
-	coldAt     time.Duration
+	// Until coldUntil the target is cold, and cold limits the requests to it.
+	coldUntil time.Duration
+	cold      coldShare
 
 	// limit is set while the target names one.
 	limit *rateLimit
@@ -145,24 +143,6 @@
 	}
 }
 
-// allowCold reports whether this host's share of a cold target's rate limit allows one more
-// request, and consumes a token if consume is set. It allows every request to a warm target.
-func (t *target) allowCold(now time.Duration, s *service, hosts int, consume bool) bool {
-	if s.spec == nil || s.spec.MaxColdRate <= 0 || now >= t.coldUntil {
-		return true
-	}
-	rate := s.spec.MaxColdRate / float64(max(1, hosts))
-	t.coldTokens = min(max(1, rate), t.coldTokens+rate*(now-t.coldAt).Seconds())
-	t.coldAt = now
-	if t.coldTokens < 1 {
-		return false
-	}
-	if consume {
-		t.coldTokens--
-	}
-	return true
-}
-
 // service is the state that this host keeps for one service.
 type service struct {
 	name    string
@@ -237,7 +217,7 @@
 		}
 		eligible = true
 		full := len(t.open) >= t.quota || !t.limit.allows(now.Mono) || now.Mono < t.pausedUntil
-		if full && e.forwarder(now, r, t) == nil || !t.allowCold(now.Mono, s, e.hosts, false) {
+		if full && e.forwarder(now, r, t) == nil || !t.allowCold(now.Mono, s, false) {
 			continue
 		}
 		rk := e.rank(now.Mono, s, t, 0)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,7 +105,7 @@
 	g.client = upstream.New(o.Codec, g.clock, o.Tracer, g.settings.replyBytes())
 	g.relay = newRelayDuty(relay.Config{
 		Host: g.settings.Host, Zone: g.settings.Zone, Region: g.settings.Region, Regions: g.settings.Regions,
-		Retry: g.settings.Retry, MaxRequests: maxRequests, InitialHosts: assumedHosts, Seed: seed,
+		Retry: g.settings.Retry, Cold: g.settings.Cold, MaxRequests: maxRequests, InitialHosts: assumedHosts, Seed: seed,
 	}, g.clock)
 	if g.upstream, err = newUpstreamDuty(g.client, g.clock, g.relay.put); err != nil {
 		return err
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -19,6 +19,8 @@
 	// Seeds are mesh addresses of other hosts to contact first; some may be out of date.
 	Seeds []string
 	Retry relay.RetryPolicy
+	// Cold bounds the requests to cold targets.
+	Cold relay.ColdPolicy
 	// ApplyBound is the longest time in which a published change must be in force, 0 for the
 	// default.
 	ApplyBound time.Duration
@@ -47,12 +49,13 @@
 	store              string
 	applyBound         time.Duration
 	removalBound       time.Duration
+	cold               relay.ColdPolicy
 }
 
 func (s *Settings) static() staticSettings {
 	return staticSettings{
 		host: s.Host, zone: s.Zone, region: s.Region, listen: s.Listen, store: s.Store,
-		applyBound: s.ApplyBound, removalBound: s.RemovalBound,
+		applyBound: s.ApplyBound, removalBound: s.RemovalBound, cold: s.Cold,
 	}
 }
 
