A target whose process has ended is taken for cold until its entry says so

Cause, from the hosts' logs: up to 0.8 s pass between two watches of a busy store, so that leafs are back for that long before the hosts know that they are cold. And each report of a cold leaf emptied its bucket anew.

Change: a target that has refused a connection, or a check after it lost one, is taken for cold for 3 s, if its service limits cold targets. A report of a target that is still cold keeps the bucket.

Tests, each without its part of the change: TestTargetIsTakenForColdOnceIt- Refused and TestColdTargetsGetNoRequestOfEveryHostAtOnce ("a cold target got ... requests, want at least ...", with reports during the cold time) fail.

--- a/internal/core/relay/cold.go
+++ b/internal/core/relay/cold.go
@@ -22,6 +22,10 @@
 // hosts hold together. The rest is for hosts that don't know the same members yet.
 const coldBurstShare = 0.8
 
+// presumedColdFor is how long a target is taken for cold after its host refused a connection: it is
+// cold once it is back, and takes requests before its new entry has reached every host.
+const presumedColdFor = 3 * time.Second
+
 // burst returns the requests that the buckets of all hosts may hold together.
 func (p ColdPolicy) burst(rate float64) float64 {
 	return max(1, coldBurstShare*(p.Slack+max(0, p.Factor-1)*rate))
@@ -62,6 +66,25 @@
 	return true
 }
 
+// extendCold sets how long the target is cold, and begins with an empty bucket if it was warm.
+func (t *target) extendCold(now, remaining time.Duration) {
+	if now >= t.coldUntil {
+		t.cold = coldShare{filledAt: now}
+	}
+	t.coldUntil = now + remaining
+}
+
+// presumeCold takes a target for cold whose process has ended.
+func (e *Engine) presumeCold(now clock.Instant, t *target) {
+	s := e.services[t.spec.Service]
+	if t.removed || t.coldUntil-now.Mono >= presumedColdFor || s == nil || s.spec == nil || s.spec.MaxColdRate <= 0 {
+		return
+	}
+	t.extendCold(now.Mono, presumedColdFor)
+	e.restricted[t] = true
+	e.shareCold(now, t)
+}
+
 // shareCold sets this host's share of the requests to a cold target: an equal part, or nothing on a
 // host whose turn it is not, if there are more hosts than requests that may come at once. A host
 // that has just started does not know yet how many share them.
--- a/internal/core/relay/cold_test.go
+++ b/internal/core/relay/cold_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -9,7 +10,7 @@
 // TestColdTargetsGetNoRequestOfEveryHostAtOnce guards against targets that crash again as soon as they
 // are back: requests wait for them at all hosts, and each host's first token came at the same moment.
 func TestColdTargetsGetNoRequestOfEveryHostAtOnce(t *testing.T) {
-	const coldFor, between = 12 * time.Second, 20 * time.Millisecond
+	const coldFor, between, reportEvery = 12 * time.Second, 20 * time.Millisecond, 60
 	policy := ColdPolicy{Factor: 1.5, Slack: 5}
 	for _, c := range []struct {
 		hosts int
@@ -37,7 +38,17 @@
 				v.Targets[instance].Revision = 2
 			}
 			sim.step(&ViewChanged{View: v})
-			for range int((coldFor - time.Second) / between) {
+			for n := range int((coldFor - time.Second) / between) {
+				if n%reportEvery == reportEvery-1 { // a report of the targets, which are still cold
+					v := *v
+					v.Targets = maps.Clone(v.Targets)
+					for _, instance := range []string{"one@z0", "one@z1"} {
+						spec := *v.Targets[instance]
+						spec.ColdRemaining, spec.Revision = coldFor-time.Duration(n)*between, uint64(3+n)
+						v.Targets[instance] = &spec
+					}
+					sim.step(&ViewChanged{View: &v})
+				}
 				sim.submit("/one/x")
 				sim.advance(between)
 			}
@@ -55,8 +66,36 @@
 				}
 			}
 		}
-		if len(arrivals) == 0 {
-			t.Errorf("%d hosts, %v a second: no cold target got a request", c.hosts, c.rate)
+		if least := int(c.rate*coldFor.Seconds()/4) + 1; len(arrivals["one@z0"]) < least {
+			t.Errorf("%d hosts, %v a second: a cold target got %d requests, want at least %d", c.hosts, c.rate, len(arrivals["one@z0"]), least)
+		}
+	}
+}
+
+// TestTargetIsTakenForColdOnceItRefused guards against targets that crash again before their new entry
+// has reached the hosts: they are back already, and get requests as if they were warm.
+func TestTargetIsTakenForColdOnceItRefused(t *testing.T) {
+	sim := newSimulation(t, 1)
+	v := testView(1)
+	v.Config.Services["one"].MaxColdRate = 1
+	sim.step(&ViewChanged{View: v})
+	sim.warmUp()
+	for _, instance := range []string{"one@z0", "one@z1"} {
+		sim.behaviors[instance] = func(_ *simulation, s *Send) (*AttemptEnded, time.Duration) {
+			return &AttemptEnded{Outcome: Unreachable, Refused: true}, rtt(s)
 		}
 	}
+	for range 20 {
+		sim.submit("/one/x")
+		sim.advance(100 * time.Millisecond)
+	}
+	clear(sim.behaviors)
+	sim.sends = nil
+	for range 50 {
+		sim.submit("/one/x")
+		sim.advance(20 * time.Millisecond)
+	}
+	if len(sim.sends) > 2 {
+		t.Errorf("%d requests in a second at two targets that are just back, want at most one each", len(sim.sends))
+	}
 }
--- a/internal/core/relay/crash.go
+++ b/internal/core/relay/crash.go
@@ -199,6 +199,7 @@
 	r.checks--
 	if ev.Refused {
 		c.target.backOff(now.Mono, e.rng.Float64())
+		e.presumeCold(now, c.target)
 		if !r.answered {
 			e.recordCrash(now, ev.ID, c, fx)
 		}
--- a/internal/core/relay/engine.go
+++ b/internal/core/relay/engine.go
@@ -255,8 +255,7 @@
 		e.targets[name] = t
 	}
 	if spec.Revision != t.spec.Revision && spec.ColdRemaining > 0 {
-		t.coldUntil = now.Mono + spec.ColdRemaining
-		t.cold = coldShare{filledAt: now.Mono}
+		t.extendCold(now.Mono, spec.ColdRemaining)
 	}
 	t.spec = spec
 }
--- a/internal/core/relay/event.go
+++ b/internal/core/relay/event.go
@@ -143,6 +143,9 @@
 	Response *Response
 	// Reason describes why there is no response.
 	Reason string
+	// Refused states that the target's host refused the connection, so that its process has ended,
+	// if the outcome is Unreachable.
+	Refused bool
 	// PeerFailed states that the peer that forwarded the attempt failed, not the target.
 	PeerFailed bool
 }
--- a/internal/core/relay/reply.go
+++ b/internal/core/relay/reply.go
@@ -103,6 +103,9 @@
 		t.backoffUntil = now.Mono + time.Duration(float64(declinedBackoff)*(0.5+e.rng.Float64()))
 	case Misdirected, Unreachable:
 		t.backOff(now.Mono, e.rng.Float64())
+		if ev.Refused {
+			e.presumeCold(now, t)
+		}
 	case Lost, Malformed, TimedOut:
 		t.observeFailure(now.Mono, true)
 		t.backOff(now.Mono, e.rng.Float64())
--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -174,7 +174,9 @@
 	if conn == nil {
 		dialed, err := dial(s.Target.Address, remaining)
 		if err != nil {
-			return noResponse(relay.Unreachable, err.Error())
+			ended := noResponse(relay.Unreachable, err.Error())
+			ended.Refused = errors.Is(err, syscall.ECONNREFUSED)
+			return ended
 		}
 		c.dials.Add(1)
 		conn = dialed
