A failed accept does not end a listener

Cause: hertz returns from its loop on any error of Accept, and the server drops that error. Change: the listener accepts again after 50 ms unless it is closed, as the links between hosts do.

--- a/internal/edge/httpd/listener.go
+++ b/internal/edge/httpd/listener.go
@@ -39,12 +39,20 @@
 	return &listener{Listener: l, idleTimeout: idleTimeout, conns: map[*conn]struct{}{}}
 }
 
+// acceptRetryDelay is the wait after a failed accept before the next one.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // Accept returns the next connection, which is tracked until it is closed. While the listener is
-// closing, a request that has arrived on it is still served.
+// closing, a request that has arrived on it is still served. It fails only once the listener is
+// closed: hertz ends its loop on any error, and an accept also fails for want of descriptors.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	for err != nil && !errors.Is(err, net.ErrClosed) {
+		time.Sleep(acceptRetryDelay)
+		c, err = l.Listener.Accept()
+	}
 	if err != nil {
-		return nil, err
+		return nil, err //nolint:wrapcheck // hertz compares it
 	}
 	tracked := &conn{Conn: c, listener: l}
 	l.mu.Lock()
