--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -49,9 +49,9 @@
 	// below any bound on applying a change.
 	coalesceDelay = 200 * time.Millisecond
 	// maxCoalesceDelay bounds the delay before the next watch of the store, which doubles with
-	// each reply that has changes and starts again after one without. It is also at most half of
-	// the contact limit. Releases, and leafs that
-	// register after a loss of power, change the store many times a second for a while.
+	// each reply that has changes and starts again after one without. Releases, and leafs that
+	// register after a loss of power, change the store many times a second for a while. The delay
+	// is also at most half of the contact limit.
 	maxCoalesceDelay = 800 * time.Millisecond
 	// minBackoff and maxBackoff bound the delay after a failed call, which doubles with
 	// each consecutive failure; failed calls are charged too. A host whose calls the store
@@ -146,6 +146,7 @@
 	contactAt time.Duration
 	// contactLimit is the age of contactAt from which this host no longer counts as up to date.
 	contactLimit time.Duration
+	// removalDelay is the constant of this name within Config.RemovalBound.
 	removalDelay time.Duration
 	viewChanged  bool
 	// complete is set once the view holds a whole catalog. Until then it is not published: a
--- a/internal/core/discovery/record.go
+++ b/internal/core/discovery/record.go
@@ -17,8 +17,8 @@
 	targetsPerRecord = 100
 )
 
-// goneEntry is a target whose entry was deleted, at a revision of the store. contactAge is the time
-// since a source had last answered with up-to-date data.
+// goneEntry is a target whose entry was deleted, at a revision of the store. contactAge is how old
+// the contact with the store was when the deletion became known.
 type goneEntry struct {
 	name       string
 	revision   uint64
--- a/internal/core/relay/crash.go
+++ b/internal/core/relay/crash.go
@@ -17,8 +17,8 @@
 // connection alone does not show it: targets reset connections for other reasons. So a target that
 // loses a connection is checked whether it still listens. A request under which targets crash and
 // that none of them answers is suspect: the next request with its fingerprint runs alone, at one
-// target at a time, until one answers, and after a second crash it is not repeated. Crashes under such requests
-// convict the fingerprint, unless this host saw it answered lately.
+// target at a time, until one answers, and after a second crash it is not repeated. Crashes under
+// requests that ran alone convict the fingerprint, unless this host saw it answered lately.
 
 const (
 	// maxSuspects bounds the fingerprints that are kept.
--- a/internal/core/relay/engine.go
+++ b/internal/core/relay/engine.go
@@ -27,7 +27,8 @@
 	// Regions maps each availability zone to its region.
 	Regions map[string]string
 	Retry   RetryPolicy
-	Cold    ColdPolicy
+	// Cold bounds the requests to cold targets.
+	Cold ColdPolicy
 	// MaxRequests is the maximum number of requests in progress.
 	MaxRequests int
 	// InitialHosts is the assumed number of hosts that share the targets until the first
@@ -107,8 +108,8 @@
 	timers        timerHeap
 	lastAttemptID AttemptID
 	crash         crashWatch
-	// restricted holds the targets that name a limit, want a pause or are cold. limitTurn numbers the turn
-	// of the hosts that share small limits.
+	// restricted holds the targets that name a limit, want a pause or are cold. limitTurn numbers
+	// the turn of the hosts that share small limits.
 	restricted map[*target]bool
 	limitTurn  int64
 	counters   Counters
--- a/internal/core/relay/limit.go
+++ b/internal/core/relay/limit.go
@@ -133,8 +133,8 @@
 }
 
 // isLimitSharer reports whether this host is one of the given number of hosts whose turn it is to
-// share a target's limit, or its requests while it is cold. All hosts with the same members and about the same time come to the same
-// choice.
+// share a target's limit, or its requests while it is cold. All hosts with the same members and
+// about the same time come to the same choice.
 func (e *Engine) isLimitSharer(t *target, sharers int) bool {
 	var names []string
 	for i := range e.members {
