A server that is closed while it starts ends

Found by a test that closed a stand-in right after its start and hung for ten minutes. What operators would see: a process that gets SIGTERM while it starts doesn't end until it is killed.

Cause: hertz ignores Shutdown before its server has begun to listen, and Close waits for the server's loop, which then never ends. Change: the listener is closed after Shutdown in any case.

Test: TestCloseRightAfterServe failed before ("a server that was closed right after its start still runs after 5s"), holds now.

--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -115,4 +115,6 @@
 	defer cancel()
 	s.listener.interruptReads()
 	_ = s.hertz.Shutdown(ctx)
+	// A server that has not begun to listen yet ignores Shutdown.
+	_ = s.listener.Close()
 }
