--- a/internal/experiment/control.go
+++ b/internal/experiment/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"runtime"
-	"syscall"
 	"time"
 
 	"pollentack.example/pollentack/internal/core/release"
@@ -121,7 +120,7 @@
 	}
 	defer bed.Stop()
 	time.Sleep(controlSettleTime)
-	cpuBefore, bytesBefore, callsBefore, start := cpuSeconds(), totalMeshBytes(bed), bed.Platform.Calls(), time.Now()
+	cpuBefore, bytesBefore, callsBefore, start := processCPUTime().Seconds(), totalMeshBytes(bed), bed.Platform.Calls(), time.Now()
 	for i := range c.notes {
 		bed.PublishChange(zoneToggleItem(bed, i))
 		time.Sleep(controlNoteInterval)
@@ -129,7 +128,7 @@
 	time.Sleep(controlWindow - time.Since(start))
 	seconds, hosts := time.Since(start).Seconds(), float64(max(1, c.hosts))
 	return controlCost{
-		cpuCores:               (cpuSeconds() - cpuBefore) / seconds / hosts,
+		cpuCores:               (processCPUTime().Seconds() - cpuBefore) / seconds / hosts,
 		heapMB:                 float64(liveHeapBytes()-heapBefore) / 1e6 / hosts,
 		meshBytesPerSecond:     float64(totalMeshBytes(bed)-bytesBefore) / seconds / hosts,
 		platformCallsPerSecond: float64(bed.Platform.Calls()-callsBefore) / seconds,
@@ -154,15 +153,6 @@
 	}
 }
 
-// cpuSeconds returns the processor time used by the process, or 0 if it cannot be read.
-func cpuSeconds() float64 {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return float64(usage.Utime.Nano()+usage.Stime.Nano()) / 1e9
-}
-
 // liveHeapBytes returns the size of the heap after garbage collection.
 func liveHeapBytes() int64 {
 	runtime.GC()
--- a/internal/experiment/replace.go
+++ b/internal/experiment/replace.go
@@ -257,8 +257,9 @@
 	default:
 		r.refused++
 	}
-	if len(r.reasons) < maxReasons {
-		r.reasons[fmt.Sprintf("%s: %s", code, detail)]++
+	reason := fmt.Sprintf("%s: %s", code, detail)
+	if _, listed := r.reasons[reason]; listed || len(r.reasons) < maxReasons {
+		r.reasons[reason]++
 	}
 }
 
--- a/internal/standin/cold.go
+++ b/internal/standin/cold.go
@@ -14,7 +14,7 @@
 type WarmUp struct {
 	// AfterAnswers is the number of answered requests after which the target is warm.
 	AfterAnswers int
-	// AfterTime is the time from a Restart or Crash until the target is warm.
+	// AfterTime is the time from its start, a Restart or a Crash until the target is warm.
 	AfterTime time.Duration
 	// RestartOnOverload makes the cold target restart when it receives more concurrent
 	// requests than its cold budget.
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -69,6 +69,7 @@
 	t := &Target{
 		Name:        name,
 		behavior:    b,
+		cold:        coldStats{start: time.Now()},
 		rng:         rand.New(rand.NewPCG(seed, hash(name))),
 		incarnation: 1,
 		cancels:     map[targetapi.AttemptRef]chan struct{}{},
