A follower whose peer lost the store asks the store next

What callers would see: the host that reads the store is cut off, and the next host of the zone is frozen or without power. The others ask that one first, wait 0.7 s for its reply, then the store: a target that is gone stays in use for 4.2 s.

Cause: only a peer that did not reply had the store called first; one that said that it had lost the store did not.

Change: after a peer that was followed has lost the store, the store is called next, once. While the store is unavailable the peers report its recovery as before, so that an outage costs no more calls.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -118,6 +118,10 @@
 	// peerLost is set while a peer has not replied and no other source has been up to date
 	// since. The store is then called first.
 	peerLost bool
+	// peerStale is set when the peer that this host follows has lost contact with the store, until
+	// the store was called. The store is then called first, once: while it is unavailable, the
+	// peers report its recovery.
+	peerStale bool
 	rng      *rand.Rand
 	view     *catalog.View
 	phase    phase
@@ -291,6 +295,7 @@
 			decision.Millis("waited", now.Mono-f.callStartedAt), decision.Millis("contact_age", now.Mono-f.contactAt)))
 	}
 	f.storeFailures++
+	f.peerStale = false
 	f.completeWithoutStore()
 	delay := minBackoff << min(f.storeFailures-1, 8)
 	delay = min(delay, maxBackoff)
@@ -311,7 +316,7 @@
 			decision.Int("failed_calls", f.storeFailures), decision.Uint("revision", f.view.Revision)))
 	}
 	f.storeFailures = 0
-	f.peerLost = false
+	f.peerLost, f.peerStale = false, false
 }
 
 // handlePage applies a page of the list. The pages are not one snapshot, so the watch
@@ -386,7 +391,7 @@
 		f.completeWithoutStore()
 	} else {
 		f.contactAt = max(f.contactAt, now.Mono-ev.ContactAge)
-		f.peerLost = false
+		f.peerLost, f.peerStale = false, false
 	}
 	fx.Progress = f.progress(!stale)
 	fx.Progress.Path = ev.Path
--- a/internal/core/discovery/removal_test.go
+++ b/internal/core/discovery/removal_test.go
@@ -77,3 +77,14 @@
 		expectRemoved(t, seed, cl, names, "a", func() { cl.rejected["a"] = true })
 	}
 }
+
+// TestDeletedTargetLeavesFollowersOfTwoLostHosts cuts off the host that others follow, and freezes the
+// one that they would follow next: a call to that one must not come before the call to the store.
+func TestDeletedTargetLeavesFollowersOfTwoLostHosts(t *testing.T) {
+	for seed := range uint64(200) {
+		cl, _ := newSettledCluster(seed)
+		expectRemoved(t, seed, cl, []string{"a", "c", "d", "far1", "far2"}, "a", func() {
+			cl.rejected["a"], cl.silent["b"] = true, true
+		})
+	}
+}
--- a/internal/core/discovery/source.go
+++ b/internal/core/discovery/source.go
@@ -26,10 +26,11 @@
 }
 
 // selectSource returns the source to call now: the most preferred one that is available, or the
-// store after a peer was lost, since other peers may be lost for the same reason and each would
-// take its time-out. If there is none, ok is false and due is when the first becomes available.
+// store after a peer was lost or lost contact with the store, since other peers may be lost too and
+// each would take its time-out. If there is none, ok is false and due is when the first becomes
+// available.
 func (f *Follower) selectSource(now clock.Instant) (source string, due time.Duration, ok bool) {
-	if f.peerLost && f.unavailableUntil[storeSource] <= now.Mono {
+	if (f.peerLost || f.peerStale) && f.unavailableUntil[storeSource] <= now.Mono {
 		return storeSource, 0, true
 	}
 	due = f.unavailableUntil[f.sources[0]]
@@ -108,6 +109,7 @@
 // all the items it knows, so that after an up-to-date reply no list is needed.
 func (f *Follower) handlePeerReply(now clock.Instant, ev *Changes, stale bool, fx *Effects) {
 	if stale && f.sourceVerified {
+		f.peerStale = true
 		fx.Records = append(fx.Records, decision.Warning("source_stale",
 			decision.String("peer", f.current), decision.Uint("revision", f.view.Revision),
 			decision.Millis("waited", now.Mono-f.callStartedAt), decision.Millis("contact_age", now.Mono-f.contactAt)))
