--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -122,9 +122,9 @@
 	// the store was called. The store is then called first, once: while it is unavailable, the
 	// peers report its recovery.
 	peerStale bool
-	rng      *rand.Rand
-	view     *catalog.View
-	phase    phase
+	rng       *rand.Rand
+	view      *catalog.View
+	phase     phase
 	// items holds the newest item of each key, including deleted items.
 	items map[string]Item
 	// removals maps targets whose entries were deleted to the time they leave the view.
