Soak: a SIGHUP waits until the process has begun

Cause, from the host's log and the soak's actions: host 2 was stopped at 4.4 s and ended at 7.06 s, was started again at once, and got a SIGHUP at 7.1 s. Its log has no line of that process. A SIGHUP that comes before a process has taken signals over ends it, as it ends any program: of four starts by hand the one with a SIGHUP after 2 ms ended with "Hangup" and no line, those after 10, 30 and 300 ms went on. The platform starts a process again that has ended; the soak doesn't, so that the host was gone until the end.

Change: the soak sends a SIGHUP once the process has written its first line. SIGHUPs while a process stops, which come in series with other signals, are sent as before. The promise and its bound stay.

--- a/cmd/pollentack/soakfaults_test.go
+++ b/cmd/pollentack/soakfaults_test.go
@@ -132,10 +132,26 @@
 	host := s.randomHost()
 	return func() {
 		s.logAction("hup %d", host)
-		s.signal(host, syscall.SIGHUP)
+		s.hangUp(host)
 	}
 }
 
+// hangUp sends a SIGHUP to a host once its process has written its first line. A process takes signals
+// over as its first act; a SIGHUP before that ends it, like any program, and nobody here starts it
+// again, as the platform does.
+func (s *soak) hangUp(host int) {
+	const longestStart, poll = 2 * time.Second, 5 * time.Millisecond
+	for begin := time.Now(); time.Since(begin) < longestStart; time.Sleep(poll) {
+		s.mu.Lock()
+		logSize := s.processes[host].logSize
+		s.mu.Unlock()
+		if s.logSize(host) > logSize {
+			break
+		}
+	}
+	s.signal(host, syscall.SIGHUP)
+}
+
 // changeSettings writes a settings file with another memory limit for a host, with or without
 // a SIGHUP to the host.
 func (s *soak) changeSettings() func() {
@@ -160,7 +176,7 @@
 			s.t.Error(err)
 		}
 		if signal {
-			s.signal(host, syscall.SIGHUP)
+			s.hangUp(host)
 		}
 	}
 }
