Record when the store's data is of another era

The store's header Store-Era was read nowhere, so that a store that came back from an older copy looked like one that had dropped its history. No decision uses it yet.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -135,6 +135,9 @@
 
 // View is the state of the catalog that is active on a host.
 type View struct {
+	// Era is the era of the store's data, 0 if it is not known. It rises when the store comes back
+	// from an older copy; revisions of different eras cannot be compared.
+	Era uint64
 	// Revision is the store's revision up to which the view is complete.
 	Revision uint64
 	// Config is nil before the first configuration.
--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -230,6 +230,7 @@
 		f.handleChanges(now, ev, fx)
 	case *HistoryGone:
 		f.callInProgress = false
+		f.observeEra(ev.Era, 0, fx)
 		fx.Records = append(fx.Records, decision.Warning("store_history_gone", decision.Uint("revision", f.view.Revision)))
 		f.beginList(now)
 		f.nextCallAt += coalesceDelay
@@ -306,6 +307,20 @@
 	f.unavailableUntil[storeSource] = now.Mono + delay
 }
 
+// observeEra records that the store's data is of another era than before. revision is the store's
+// revision, 0 if it is not known.
+func (f *Follower) observeEra(era, revision uint64, fx *Effects) {
+	if era == 0 || era == f.view.Era {
+		return
+	}
+	if f.view.Era != 0 {
+		fx.Records = append(fx.Records, decision.Warning("store_restored",
+			decision.Uint("era", era), decision.Uint("era_before", f.view.Era), decision.Uint("revision", revision),
+			decision.Uint("revision_before", f.view.Revision), decision.String("source", f.current)))
+	}
+	f.view.Era = era
+}
+
 func (f *Follower) handleSuccess(fx *Effects) {
 	f.callInProgress = false
 	if f.current != storeSource {
@@ -323,6 +338,7 @@
 // starts at the revision of the first page.
 func (f *Follower) handlePage(now clock.Instant, ev *Page, fx *Effects) {
 	f.handleSuccess(fx)
+	f.observeEra(ev.Era, ev.Revision, fx)
 	f.contactAt = now.Mono
 	if f.listRevision == 0 {
 		f.listRevision = ev.Revision
@@ -356,7 +372,7 @@
 	f.view.Revision = max(f.view.Revision, f.listRevision)
 	f.viewChanged = true
 	fx.Records = append(fx.Records, decision.New("store_listed",
-		decision.Uint("revision", f.listRevision), decision.Int("items", len(f.listedItems))))
+		decision.Uint("era", f.view.Era), decision.Uint("revision", f.listRevision), decision.Int("items", len(f.listedItems))))
 	f.listedItems = nil
 }
 
@@ -378,6 +394,7 @@
 
 func (f *Follower) handleChanges(now clock.Instant, ev *Changes, fx *Effects) {
 	f.handleSuccess(fx)
+	f.observeEra(ev.Era, ev.Revision, fx)
 	stale := ev.Stale || f.formsLoop(ev.Path)
 	if f.current != storeSource {
 		f.handlePeerReply(now, ev, stale, fx)
--- a/internal/core/discovery/event.go
+++ b/internal/core/discovery/event.go
@@ -52,12 +52,17 @@
 	More  bool
 	// Revision is the store's revision when the page was read.
 	Revision uint64
+	// Era is the era of the store's data, 0 if the store did not say.
+	Era uint64
 }
 
 // Changes is the reply to a watch.
 type Changes struct {
 	Items    []Item
 	Revision uint64
+	// Era is the era of the store's data that Revision and the items belong to, 0 if the source
+	// did not say.
+	Era uint64
 	// Stale reports that the peer that replied has lost contact with the store. Otherwise
 	// ContactAge is the age of its contact, 0 for the store itself.
 	Stale      bool
@@ -77,7 +82,10 @@
 type Sources struct{ Hosts []string }
 
 // HistoryGone reports that the store no longer has the history that a watch asked for.
-type HistoryGone struct{}
+type HistoryGone struct {
+	// Era is the era of the store's data, 0 if the store did not say.
+	Era uint64
+}
 
 // CallFailed reports that a call failed.
 type CallFailed struct{ Reason string }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -66,6 +66,7 @@
 	Host           string         `json:"host"`
 	Ready          bool           `json:"ready"`
 	Draining       bool           `json:"draining"`
+	StoreEra       uint64         `json:"store_era"`
 	Revision       uint64         `json:"revision"`
 	ConfigVersion  uint64         `json:"config_version"`
 	Targets        int            `json:"targets"`
@@ -83,7 +84,7 @@
 	v := g.discovery.view.Load()
 	s := Status{
 		Host: g.settings.Host, Ready: g.isReady(), Draining: g.draining.Load(),
-		Revision: v.Revision, Targets: len(v.Targets), InProgress: g.ingress.InProgress(),
+		StoreEra: v.Era, Revision: v.Revision, Targets: len(v.Targets), InProgress: g.ingress.InProgress(),
 		Relay:          *g.relay.counters.Load(),
 		RequestLatency: g.latency.summary(g.latency.requests),
 		AttemptLatency: g.latency.summary(g.latency.attempts),
