Hosts follow a store that came back from an older copy

Callers got 404 on a route that had been added, old services and other regions than the newest configuration allows, for as long as the store's revision stayed below the one that a host had seen.

Cause: the follower compared revisions of the data before and after the restore. Its watch began at the greatest revision ever seen, which the copy does not have, so that list and watch alternated without end; once revisions passed that mark, the watch was answered without what lay below it. Items at or below the revision of the item they replace were passed over, at the host that calls the store and at those that follow it.

Each reply's era is now compared with the one that a host follows. A later one makes it forget all revisions and learn all items anew, from the store or from a peer, which sends all its items to a host of an earlier era and none to one of a later era. A host serves the former era to its peers until it knows the new one whole. Replies of an earlier era count as failed calls. What is in force stays so until the new items replace it.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -136,7 +136,13 @@
 	afterKey     string
 	// knownSince is the revision since which this host knows of all deletions: that of its own
 	// list, or of a peer's.
-	knownSince    uint64
+	knownSince uint64
+	// rebuilding is set from the begin of a new era until all its items are known. Peers are served
+	// those of servedEra until then.
+	rebuilding bool
+	servedEra  uint64
+	// targetKeys holds the keys of the items of all targets by name.
+	targetKeys    map[string]string
 	storeFailures int
 	// storeCoalesceDelay is the delay before the next watch of the store after changes.
 	storeCoalesceDelay time.Duration
@@ -199,6 +205,7 @@
 		view:             catalog.NewView(),
 		items:            map[string]Item{},
 		removals:         map[string]time.Duration{},
+		targetKeys:       map[string]string{},
 	}
 }
 
@@ -229,11 +236,7 @@
 	case *Changes:
 		f.handleChanges(now, ev, fx)
 	case *HistoryGone:
-		f.callInProgress = false
-		f.observeEra(ev.Era, 0, fx)
-		fx.Records = append(fx.Records, decision.Warning("store_history_gone", decision.Uint("revision", f.view.Revision)))
-		f.beginList(now)
-		f.nextCallAt += coalesceDelay
+		f.handleHistoryGone(now, ev, fx)
 	case *CallFailed:
 		f.handleFailure(now, ev, fx)
 	}
@@ -265,7 +268,7 @@
 // progress returns the progress of this host after a call.
 func (f *Follower) progress(fresh bool) *Progress {
 	return &Progress{
-		Revision: f.view.Revision, KnownSince: f.knownSince,
+		Era: f.servedEra, Revision: f.view.Revision, KnownSince: f.knownSince,
 		Fresh: fresh, ContactAt: f.contactAt, FreshUntil: f.contactAt + f.contactLimit,
 	}
 }
@@ -307,20 +310,6 @@
 	f.unavailableUntil[storeSource] = now.Mono + delay
 }
 
-// observeEra records that the store's data is of another era than before. revision is the store's
-// revision, 0 if it is not known.
-func (f *Follower) observeEra(era, revision uint64, fx *Effects) {
-	if era == 0 || era == f.view.Era {
-		return
-	}
-	if f.view.Era != 0 {
-		fx.Records = append(fx.Records, decision.Warning("store_restored",
-			decision.Uint("era", era), decision.Uint("era_before", f.view.Era), decision.Uint("revision", revision),
-			decision.Uint("revision_before", f.view.Revision), decision.String("source", f.current)))
-	}
-	f.view.Era = era
-}
-
 func (f *Follower) handleSuccess(fx *Effects) {
 	f.callInProgress = false
 	if f.current != storeSource {
@@ -334,11 +323,32 @@
 	f.peerLost, f.peerStale = false, false
 }
 
+func (f *Follower) handleHistoryGone(now clock.Instant, ev *HistoryGone, fx *Effects) {
+	fx.Records = append(fx.Records, decision.Warning("store_history_gone", decision.Uint("revision", f.view.Revision)))
+	if f.followEra(now, ev.Era, 0, fx) == outdatedEra {
+		f.handleFailure(now, errOutdatedEra(ev.Era, f.view.Era), fx)
+		return
+	}
+	f.callInProgress = false
+	f.beginList(now)
+	f.nextCallAt += coalesceDelay
+}
+
 // handlePage applies a page of the list. The pages are not one snapshot, so the watch
 // starts at the revision of the first page.
 func (f *Follower) handlePage(now clock.Instant, ev *Page, fx *Effects) {
+	firstPage := f.afterKey == ""
+	switch f.followEra(now, ev.Era, ev.Revision, fx) {
+	case outdatedEra:
+		f.handleFailure(now, errOutdatedEra(ev.Era, f.view.Era), fx)
+		return
+	case newEra:
+		if !firstPage {
+			f.handleSuccess(fx)
+			return
+		}
+	}
 	f.handleSuccess(fx)
-	f.observeEra(ev.Era, ev.Revision, fx)
 	f.contactAt = now.Mono
 	if f.listRevision == 0 {
 		f.listRevision = ev.Revision
@@ -371,6 +381,9 @@
 	f.storeCoalesceDelay = coalesceDelay // changes are likely while a fleet or its targets start
 	f.view.Revision = max(f.view.Revision, f.listRevision)
 	f.viewChanged = true
+	if f.rebuilding {
+		f.endRebuild(now, f.hasItem, fx)
+	}
 	fx.Records = append(fx.Records, decision.New("store_listed",
 		decision.Uint("era", f.view.Era), decision.Uint("revision", f.listRevision), decision.Int("items", len(f.listedItems))))
 	f.listedItems = nil
@@ -389,21 +402,36 @@
 	}
 	deleted := Item{Key: it.Key, Kind: it.Kind, Name: it.Name, Revision: revision, Deleted: true}
 	f.items[it.Key] = deleted
-	fx.AppliedItems = append(fx.AppliedItems, deleted)
+	f.tellPeers(&deleted, fx)
+}
+
+// hasItem reports whether there is an item with the key.
+func (f *Follower) hasItem(key string) bool {
+	it, ok := f.items[key]
+	return ok && !it.Deleted
+}
+
+// tellPeers passes an item on to the peers that follow this host.
+func (f *Follower) tellPeers(it *Item, fx *Effects) {
+	if !f.rebuilding {
+		fx.AppliedItems = append(fx.AppliedItems, *it)
+	}
 }
 
 func (f *Follower) handleChanges(now clock.Instant, ev *Changes, fx *Effects) {
+	change := f.followEra(now, ev.Era, ev.Revision, fx)
+	if f.current == storeSource && change != sameEra {
+		f.handleChangesOfOtherEra(now, ev, change, fx)
+		return
+	}
 	f.handleSuccess(fx)
-	f.observeEra(ev.Era, ev.Revision, fx)
-	stale := ev.Stale || f.formsLoop(ev.Path)
+	stale := ev.Stale || f.formsLoop(ev.Path) || change == outdatedEra || f.rebuilding && !ev.HasLive
 	if f.current != storeSource {
 		f.handlePeerReply(now, ev, stale, fx)
 	}
-	f.applyKnownSince(now, ev, fx)
-	for i := range ev.Items {
-		f.applyItem(now, &ev.Items[i], fx)
+	if change != outdatedEra {
+		f.applyChanges(now, ev, stale, fx)
 	}
-	f.view.Revision = max(f.view.Revision, ev.Revision)
 	if stale {
 		f.completeWithoutStore()
 	} else {
@@ -417,10 +445,42 @@
 	f.sourceVerified = !stale
 }
 
+// handleChangesOfOtherEra handles the reply of the store to a watch that began in another era: it
+// lacks what was written below the watch's revision.
+func (f *Follower) handleChangesOfOtherEra(now clock.Instant, ev *Changes, change eraChange, fx *Effects) {
+	if change == outdatedEra {
+		f.handleFailure(now, errOutdatedEra(ev.Era, f.view.Era), fx)
+		return
+	}
+	f.handleSuccess(fx)
+}
+
+func (f *Follower) applyChanges(now clock.Instant, ev *Changes, stale bool, fx *Effects) {
+	live := make(map[uint64]bool, len(ev.Live))
+	for _, h := range ev.Live {
+		live[h] = true
+	}
+	exists := func(key string) bool { return live[KeyHash(key)] }
+	if !f.rebuilding {
+		f.applyKnownSince(now, ev, exists, fx)
+	}
+	for i := range ev.Items {
+		f.applyItem(now, &ev.Items[i], fx)
+	}
+	if f.rebuilding && stale {
+		return
+	}
+	f.view.Revision = max(f.view.Revision, ev.Revision)
+	if f.rebuilding {
+		f.knownSince = ev.KnownSince
+		f.endRebuild(now, exists, fx)
+	}
+}
+
 // applyKnownSince handles the reply of a peer that does not know of the deletions between this
 // host's revision and KnownSince, because it has listed the store since: what it does not have any
 // more was deleted.
-func (f *Follower) applyKnownSince(now clock.Instant, ev *Changes, fx *Effects) {
+func (f *Follower) applyKnownSince(now clock.Instant, ev *Changes, exists func(key string) bool, fx *Effects) {
 	if f.current == storeSource || ev.KnownSince <= f.view.Revision {
 		return
 	}
@@ -428,13 +488,9 @@
 		if !ev.HasLive {
 			return
 		}
-		live := make(map[uint64]bool, len(ev.Live))
-		for _, h := range ev.Live {
-			live[h] = true
-		}
 		for key := range f.items {
 			it := f.items[key]
-			if !it.Deleted && it.Revision <= ev.KnownSince && !live[KeyHash(key)] {
+			if !it.Deleted && it.Revision <= ev.KnownSince && !exists(key) {
 				f.markDeleted(now, &it, ev.KnownSince, fx)
 			}
 		}
@@ -462,8 +518,11 @@
 	if it.Kind == OtherItem || it.Revision <= f.items[it.Key].Revision {
 		return
 	}
+	if it.Kind == TargetItem {
+		f.targetKeys[it.Name] = it.Key
+	}
 	f.items[it.Key] = *it
-	fx.AppliedItems = append(fx.AppliedItems, *it)
+	f.tellPeers(it, fx)
 	if it.DecodeError != "" {
 		fx.Records = append(fx.Records, decision.Warning("item_unreadable",
 			decision.String("key", it.Key), decision.Uint("revision", it.Revision), decision.String("fault", it.DecodeError)))
@@ -474,7 +533,7 @@
 	case TargetItem:
 		f.applyTarget(now, it)
 	case ZoneItem:
-		f.setZoneEvacuated(it.Name, !it.Deleted, it.Revision, fx)
+		f.updateZones(fx)
 	}
 }
 
--- a/internal/core/discovery/event.go
+++ b/internal/core/discovery/event.go
@@ -105,8 +105,9 @@
 	Watch bool
 	// AfterKey is the key after which a page of the list starts.
 	AfterKey string
-	// AfterRevision and Wait apply to watches: changes after AfterRevision are returned,
-	// or none once Wait is over.
+	// Era, AfterRevision and Wait apply to watches: changes after AfterRevision of the era are
+	// returned, or none once Wait is over. A peer that knows a later era returns all its items.
+	Era           uint64
 	AfterRevision uint64
 	Wait          time.Duration
 	// Timeout is the time after which the call counts as failed.
@@ -127,6 +128,9 @@
 
 // Progress describes how up to date this host is, for peers that follow it.
 type Progress struct {
+	// Era is the era of the store's data that the revisions belong to. The items that come with
+	// another era than before are all items of that era.
+	Era uint64
 	// Revision is the revision of the store up to which this host knows all changes.
 	Revision uint64
 	// Fresh reports that the last call was answered with data from the store, directly or
--- a/internal/core/discovery/source.go
+++ b/internal/core/discovery/source.go
@@ -69,7 +69,7 @@
 		return
 	}
 	wait, margin := f.watchTimes(now)
-	fx.Call = &Call{Peer: source, Watch: true, AfterRevision: f.view.Revision, Wait: wait, Timeout: wait + margin}
+	fx.Call = &Call{Peer: source, Watch: true, Era: f.view.Era, AfterRevision: f.view.Revision, Wait: wait, Timeout: wait + margin}
 }
 
 // watchTimes returns how long the next watch may wait, and how long after that its reply may take.
--- a/internal/gateway/catalog.go
+++ b/internal/gateway/catalog.go
@@ -52,6 +52,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if p != nil && p.Era != c.progress.Era && c.progress.Era != 0 {
+		clear(c.items)
+		c.progress = discovery.Progress{}
+	}
 	for _, it := range items {
 		c.items[it.Key] = it
 	}
@@ -84,8 +88,8 @@
 	deadline := begin + min(time.Duration(in.GetWaitMs())*time.Millisecond, maxCatalogWait)
 	for {
 		now := c.clock.Now().Mono
-		reply, p, changed := c.since(in.GetAfter(), now)
-		if len(reply.GetItems()) > 0 || !reply.GetFresh() || p.ContactAt > begin || now >= deadline {
+		reply, p, changed := c.since(in.GetEra(), in.GetAfter(), now)
+		if len(reply.GetItems()) > 0 || in.GetEra() != 0 && in.GetEra() != reply.GetEra() || !reply.GetFresh() || p.ContactAt > begin || now >= deadline {
 			return marshal(reply)
 		}
 		timer := time.NewTimer(min(deadline, p.FreshUntil) - now)
@@ -97,17 +101,26 @@
 	}
 }
 
-// since returns the items that changed after a revision, oldest first and limited to the size of
-// a reply, the progress at the time now, and a channel that is closed on the next change.
-func (c *catalogServer) since(after uint64, now time.Duration) (*wire.CatalogReply, discovery.Progress, <-chan struct{}) {
+// since returns the items that changed after a revision of an era of the store's data, oldest first
+// and limited to the size of a reply, the progress at the time now, and a channel that is closed on
+// the next change. If this host's items are of a later era it returns all of them, with their hashes,
+// so that the peer can tell which of its own there are no more; if they are of an earlier one it
+// returns none, as a host that is out of date.
+func (c *catalogServer) since(era, after uint64, now time.Duration) (*wire.CatalogReply, discovery.Progress, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.progress
+	if era > p.Era {
+		return &wire.CatalogReply{Era: p.Era, Path: c.path}, p, c.changed
+	}
+	if era != 0 && era != p.Era {
+		after = 0
+	}
 	reply := &wire.CatalogReply{
-		Revision: p.Revision, Fresh: p.FreshAt(now), Path: c.path, KnownSince: p.KnownSince,
+		Era: p.Era, Revision: p.Revision, Fresh: p.FreshAt(now), Path: c.path, KnownSince: p.KnownSince,
 		ContactAgeMs: (now - p.ContactAt).Milliseconds(),
 	}
-	reply.HasLive = after > 0 && after < p.KnownSince
+	reply.HasLive = (after > 0 || era != 0) && after < p.KnownSince
 	var items []discovery.Item
 	for key, it := range c.items {
 		if it.Revision > after {
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -136,7 +136,7 @@
 		return &discovery.CallFailed{Reason: err.Error()}
 	}
 	ev := &discovery.Changes{
-		Revision: reply.GetRevision(), Stale: !reply.GetFresh(), Path: reply.GetPath(),
+		Era: reply.GetEra(), Revision: reply.GetRevision(), Stale: !reply.GetFresh(), Path: reply.GetPath(),
 		ContactAge: time.Duration(max(0, reply.GetContactAgeMs())) * time.Millisecond,
 		KnownSince: reply.GetKnownSince(), Live: reply.GetLive(), HasLive: reply.GetHasLive(),
 	}
@@ -153,7 +153,7 @@
 		payload []byte
 		err     error
 	}
-	request := marshal(&wire.CatalogRequest{After: call.AfterRevision, WaitMs: call.Wait.Milliseconds()})
+	request := marshal(&wire.CatalogRequest{Era: call.Era, After: call.AfterRevision, WaitMs: call.Wait.Milliseconds()})
 	done := make(chan outcome, 1)
 	err := d.peerCalls.Submit(func() {
 		payload, err := d.mesh.Call(call.Peer, wire.CallKind_CALL_KIND_CATALOG, request, call.Timeout)
