Targets that have left stay out of use after a store was restored

Cause: an entry counted as newer than the deletion before it since it came later, although the store had lost the deletion. A target numbers its reports (sequence) since its start (born), which no restore takes back. For four report intervals (beat_interval_ms) after a restore an entry counts only if it is newer by these than what the host knew of the target, in use, draining or gone; after that, an entry that is still there is that of a live target and is taken. A target that the copy lacks has the usual delay before removal to report again.

Evidence: TestTargetGoneBeforeCopyStaysOut and TestDrainingTargetOfCopyStaysDraining fail on the code before.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -129,10 +129,18 @@
 	// StartTime is the start of the target as wall-clock time since the Unix epoch. A target
 	// that restarts under the same instance has a later one.
 	StartTime time.Duration
+	// Sequence counts the target's reports since its start. The entry has that of the report that
+	// changed it last.
+	Sequence uint64
 	// Revision is the store's revision of the entry.
 	Revision uint64
 }
 
+// NewerThan reports whether t describes a later state of the instance than o does.
+func (t *Target) NewerThan(o *Target) bool {
+	return cmp.Or(cmp.Compare(t.StartTime, o.StartTime), cmp.Compare(t.Sequence, o.Sequence)) > 0
+}
+
 // View is the state of the catalog that is active on a host.
 type View struct {
 	// Era is the era of the store's data, 0 if it is not known. It rises when the store comes back
--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -141,6 +141,7 @@
 	// those of servedEra until then.
 	rebuilding bool
 	servedEra  uint64
+	former     formerState
 	// targetKeys holds the keys of the items of all targets by name.
 	targetKeys    map[string]string
 	storeFailures int
@@ -182,6 +183,8 @@
 	// RemovalBound is the same for a deleted target: the longest time until this host no longer
 	// uses it.
 	RemovalBound time.Duration
+	// ReportInterval is how often targets report to the store; 0 means defaultReportInterval.
+	ReportInterval time.Duration
 	// Seed randomizes the retry delays across hosts.
 	Seed uint64
 }
@@ -194,6 +197,9 @@
 	if cfg.RemovalBound <= 0 {
 		cfg.RemovalBound = defaultBound
 	}
+	if cfg.ReportInterval <= 0 {
+		cfg.ReportInterval = defaultReportInterval
+	}
 	removal := min(removalDelay, cfg.RemovalBound/2)
 	return &Follower{
 		cfg:              cfg,
@@ -205,6 +211,7 @@
 		view:             catalog.NewView(),
 		items:            map[string]Item{},
 		removals:         map[string]time.Duration{},
+		former:           newFormerState(),
 		targetKeys:       map[string]string{},
 	}
 }
@@ -245,6 +252,7 @@
 
 // Advance removes targets whose delay has expired and starts a call if one is due.
 func (f *Follower) Advance(now clock.Instant, fx *Effects) {
+	f.endHold(now)
 	f.removeDueTargets(now)
 	f.startDueCall(now, fx)
 	f.recordTargets(fx)
@@ -257,6 +265,9 @@
 // NextWake returns when Advance must next be called, or false if no time is set.
 func (f *Follower) NextWake() (time.Duration, bool) {
 	next, ok := f.nextCallAt, !f.callInProgress && f.phase != idle
+	if until := f.former.until; until > 0 && (!ok || until < next) {
+		next, ok = until, true
+	}
 	for _, due := range f.removals {
 		if !ok || due < next {
 			next, ok = due, true
@@ -400,7 +411,7 @@
 	default:
 		return
 	}
-	deleted := Item{Key: it.Key, Kind: it.Kind, Name: it.Name, Revision: revision, Deleted: true}
+	deleted := Item{Key: it.Key, Kind: it.Kind, Name: it.Name, Revision: revision, Deleted: true, Target: it.Target}
 	f.items[it.Key] = deleted
 	f.tellPeers(&deleted, fx)
 }
@@ -518,11 +529,9 @@
 	if it.Kind == OtherItem || it.Revision <= f.items[it.Key].Revision {
 		return
 	}
-	if it.Kind == TargetItem {
-		f.targetKeys[it.Name] = it.Key
-	}
-	f.items[it.Key] = *it
-	f.tellPeers(it, fx)
+	known := f.known(it)
+	f.items[it.Key] = known
+	f.tellPeers(&known, fx)
 	if it.DecodeError != "" {
 		fx.Records = append(fx.Records, decision.Warning("item_unreadable",
 			decision.String("key", it.Key), decision.Uint("revision", it.Revision), decision.String("fault", it.DecodeError)))
@@ -537,6 +546,20 @@
 	}
 }
 
+// known returns the item as this host keeps it and passes it on. That of a deleted target keeps what
+// its last entry said.
+func (f *Follower) known(it *Item) Item {
+	known := *it
+	switch {
+	case it.Kind == TargetItem:
+		f.targetKeys[it.Name] = it.Key
+		if it.Deleted {
+			known.Target = f.items[it.Key].Target
+		}
+	}
+	return known
+}
+
 // applyConfig activates a configuration. If it was deleted or cannot be decoded, the
 // previous configuration stays active.
 func (f *Follower) applyConfig(now clock.Instant, it *Item, fx *Effects) {
@@ -556,6 +579,9 @@
 		f.scheduleRemoval(now, it.Name, it.Revision)
 		return
 	}
+	if f.distrusts(now, it) {
+		return
+	}
 	delete(f.removals, it.Name)
 	f.viewChanged = true
 	if it.Target == nil {
--- a/internal/core/discovery/era.go
+++ b/internal/core/discovery/era.go
@@ -2,13 +2,24 @@
 
 import (
 	"fmt"
+	"time"
 
+	"pollentack.example/pollentack/internal/core/catalog"
 	"pollentack.example/pollentack/internal/core/clock"
 	"pollentack.example/pollentack/internal/core/decision"
 )
 
 // When the store comes back from an older copy, its revisions go back and are given out again: a new
-// era begins, in which this host learns all items anew.
+// era begins, in which this host learns all items anew. What the copy lacks is written again within
+// seconds, and until then this host holds on to what it knew of the copy's targets, which may have left.
+
+const (
+	// defaultReportInterval is the Config.ReportInterval of a host without one.
+	defaultReportInterval = time.Second
+	// holdReports is the number of report intervals for which a host distrusts a copy. The entry of
+	// a target that has left expires after three of them.
+	holdReports = 4
+)
 
 // eraChange is the relation of a reply's era to the one that this host follows.
 type eraChange int
@@ -19,6 +30,17 @@
 	outdatedEra
 )
 
+// formerState is what a host knew of the store's data before it went back to an older copy.
+type formerState struct {
+	// until is when the store's data counts as complete again, 0 if it does.
+	until time.Duration
+	// gone holds the targets whose entries were deleted, by name, as their last entry described
+	// them.
+	gone map[string]*catalog.Target
+}
+
+func newFormerState() formerState { return formerState{gone: map[string]*catalog.Target{}} }
+
 // followEra compares the era of a reply with the one that this host follows, and begins to learn all
 // items anew if it is a later one. revision is the source's revision, 0 if it is not known.
 func (f *Follower) followEra(now clock.Instant, era, revision uint64, fx *Effects) eraChange {
@@ -34,6 +56,12 @@
 	fx.Records = append(fx.Records, decision.Warning("store_restored",
 		decision.Uint("era", era), decision.Uint("era_before", f.view.Era), decision.Uint("revision", revision),
 		decision.Uint("revision_before", f.view.Revision), decision.String("source", f.current)))
+	f.former.until = now.Mono + holdReports*f.cfg.ReportInterval
+	for key := range f.items {
+		if it := f.items[key]; it.Deleted && it.Target != nil {
+			f.former.gone[it.Name] = it.Target
+		}
+	}
 	f.items = map[string]Item{}
 	f.view.Era, f.view.Revision, f.knownSince = era, 0, 0
 	f.rebuilding = true
@@ -62,6 +90,48 @@
 	f.updateZones(fx)
 }
 
+// holds reports whether this host distrusts the store's data.
+func (f *Follower) holds(now time.Duration) bool { return now < f.former.until }
+
+// distrusts reports whether an entry may be that of the copy, because it is not newer than what this
+// host knows of the target. A target that is in use stays as it is known, and one that is gone stays
+// out of use.
+func (f *Follower) distrusts(now clock.Instant, it *Item) bool {
+	if !f.holds(now.Mono) || it.Target == nil {
+		return false
+	}
+	if gone := f.former.gone[it.Name]; gone != nil {
+		if !it.Target.NewerThan(gone) {
+			return true
+		}
+		delete(f.former.gone, it.Name)
+		return false
+	}
+	known := f.view.Targets[it.Name]
+	if known == nil || it.Target.NewerThan(known) {
+		return false
+	}
+	delete(f.removals, it.Name)
+	return true
+}
+
+// endHold applies what this host did not take from the copy and what was not written again since.
+func (f *Follower) endHold(now clock.Instant) {
+	if f.former.until == 0 || f.holds(now.Mono) {
+		return
+	}
+	f.former = newFormerState()
+	for key := range f.items {
+		it := f.items[key]
+		if it.Kind != TargetItem || it.Deleted || it.Target == nil {
+			continue
+		}
+		if known := f.view.Targets[it.Name]; known == nil || known.NewerThan(it.Target) {
+			f.applyTarget(now, &it)
+		}
+	}
+}
+
 // updateZones applies which availability zones are evacuated.
 func (f *Follower) updateZones(fx *Effects) {
 	evacuated := map[string]uint64{}
--- a/internal/core/discovery/era_test.go
+++ b/internal/core/discovery/era_test.go
@@ -5,6 +5,13 @@
 	"time"
 )
 
+// report returns the entry of a target that its report of the given number changed last.
+func report(revision uint64, name string, sequence uint64) Item {
+	it := targetItem(revision, name)
+	it.Target.Sequence = sequence
+	return it
+}
+
 // newEraHarness returns a harness that has listed items of the store's first era at revision 10.
 func newEraHarness(t *testing.T, items ...Item) *harness {
 	h := newHarness(t)
@@ -27,12 +34,12 @@
 // TestChangesAfterStoreWasRestored has the store come back from an older copy, below the revision
 // that the host knew: it must learn what is written next under revisions given out again.
 func TestChangesAfterStoreWasRestored(t *testing.T) {
-	h := newEraHarness(t, targetItem(5, "a"))
-	h.restore(6, configItem(3, 7), targetItem(5, "a"))
+	h := newEraHarness(t, report(5, "a", 1))
+	h.restore(6, configItem(3, 7), report(5, "a", 1))
 	if c := h.fx.Call; c == nil || !c.Watch || c.AfterRevision != 6 || c.Era != 2 {
 		t.Fatalf("call is %+v, want a watch from revision 6", h.fx.Call)
 	}
-	h.step(&Changes{Items: []Item{configItem(7, 8), targetItem(8, "b")}, Revision: 8, Era: 2})
+	h.step(&Changes{Items: []Item{configItem(7, 8), report(8, "b", 1)}, Revision: 8, Era: 2})
 	if v := h.f.View(); v.Config.Version != 8 || v.Targets["a"] == nil || v.Targets["b"] == nil {
 		t.Errorf("version %d in force and targets %v, want what was written at revisions 7 and 8", v.Config.Version, v.Targets)
 	}
@@ -45,16 +52,16 @@
 // before the next call: the watch is answered, but lacks what was written below.
 func TestRestoredStorePassesKnownRevision(t *testing.T) {
 	h := newEraHarness(t)
-	h.step(&Changes{Items: []Item{targetItem(11, "c")}, Revision: 11, Era: 2})
+	h.step(&Changes{Items: []Item{report(11, "c", 1)}, Revision: 11, Era: 2})
 	if c := h.fx.Call; c == nil || c.Watch {
 		t.Fatalf("call is %+v, want a list", c)
 	}
 	h.step(&Page{Items: []Item{configItem(8, 9)}, More: true, Revision: 12, Era: 3})
-	h.step(&Page{Items: []Item{targetItem(11, "c")}, Revision: 12, Era: 4})
+	h.step(&Page{Items: []Item{report(11, "c", 1)}, Revision: 12, Era: 4})
 	if c := h.fx.Call; c == nil || c.Watch || c.AfterKey != "" {
 		t.Fatalf("after a second restore within a list the call is %+v, want the list from its begin", c)
 	}
-	h.step(&Page{Items: []Item{configItem(8, 9), targetItem(11, "c")}, Revision: 12, Era: 4})
+	h.step(&Page{Items: []Item{configItem(8, 9), report(11, "c", 1)}, Revision: 12, Era: 4})
 	if v := h.f.View(); v.Config.Version != 9 || v.Targets["c"] == nil {
 		t.Errorf("version %d in force and targets %v, want version 9 and c", v.Config.Version, v.Targets)
 	}
@@ -71,13 +78,13 @@
 	h.step(&Start{})
 	h.step(&Sources{Hosts: []string{"peer", "self"}})
 	h.advance(coalesceDelay)
-	h.step(&Changes{Items: []Item{configItem(3, 7), targetItem(5, "a"), targetItem(6, "b")}, Revision: 10, KnownSince: 10, Era: 1})
+	h.step(&Changes{Items: []Item{configItem(3, 7), report(5, "a", 1), report(6, "b", 1)}, Revision: 10, KnownSince: 10, Era: 1})
 	h.advance(coalesceDelay)
 	if c := h.fx.Call; c == nil || c.Era != 1 || c.AfterRevision != 10 {
 		t.Fatalf("call is %+v, want a watch from revision 10 of the first era", c)
 	}
 	live := []uint64{KeyHash("config"), KeyHash("t/a"), KeyHash("t/c")}
-	h.step(&Changes{Items: []Item{configItem(3, 8), targetItem(5, "a"), targetItem(7, "c")}, Revision: 7, KnownSince: 6, Live: live, HasLive: true, Era: 2})
+	h.step(&Changes{Items: []Item{configItem(3, 8), report(5, "a", 1), report(7, "c", 1)}, Revision: 7, KnownSince: 6, Live: live, HasLive: true, Era: 2})
 	if len(h.fx.AppliedItems) != 3 || h.fx.Progress == nil || h.fx.Progress.Era != 2 || h.fx.Progress.Revision != 7 {
 		t.Errorf("peers are told %v and %+v, want three items at revision 7 of the second era", h.fx.AppliedItems, h.fx.Progress)
 	}
@@ -94,7 +101,7 @@
 // TestPeersAreServedFormerEraUntilListEnds has a host list a restored store in several pages. Its
 // followers must not take the first ones for all items.
 func TestPeersAreServedFormerEraUntilListEnds(t *testing.T) {
-	h := newEraHarness(t, targetItem(5, "a"))
+	h := newEraHarness(t, report(5, "a", 1))
 	h.step(&HistoryGone{Era: 2})
 	h.advance(coalesceDelay)
 	h.step(&Page{Items: []Item{configItem(3, 7)}, More: true, Revision: 6, Era: 2})
@@ -106,8 +113,75 @@
 		t.Errorf("progress after a failed list is %+v, want the first era, out of date", p)
 	}
 	h.advance(time.Second)
-	h.step(&Page{Items: []Item{targetItem(5, "a")}, Revision: 6, Era: 2})
+	h.step(&Page{Items: []Item{report(5, "a", 1)}, Revision: 6, Era: 2})
 	if len(h.fx.AppliedItems) != 2 || h.fx.Progress == nil || h.fx.Progress.Era != 2 {
 		t.Errorf("peers are told %v and %+v after the list, want both items", h.fx.AppliedItems, h.fx.Progress)
 	}
 }
+
+// TestTargetGoneBeforeCopyStaysOut has the copy name a target that has left since. It must not be
+// used again, unless its own report or the end of the hold shows that it is there.
+func TestTargetGoneBeforeCopyStaysOut(t *testing.T) {
+	const hold = holdReports * defaultReportInterval
+	gone := Item{Key: "t/a", Kind: TargetItem, Name: "a", Revision: 11, Deleted: true}
+	for _, pending := range []bool{false, true} {
+		h := newEraHarness(t, report(5, "a", 4), report(6, "b", 4))
+		h.step(&Changes{Items: []Item{gone}, Revision: 11, Era: 1})
+		if !pending {
+			h.advance(removalDelay)
+		}
+		h.restore(7, configItem(3, 7), report(5, "a", 3), report(6, "b", 4))
+		h.advance(hold - coalesceDelay - 10*time.Millisecond)
+		if h.f.View().Targets["a"] != nil || h.f.View().Targets["b"] == nil {
+			t.Errorf("pending %v: targets %v within the hold, want b only", pending, h.f.View().Targets)
+		}
+		h.advance(20 * time.Millisecond)
+		if h.f.View().Targets["a"] == nil {
+			t.Errorf("pending %v: the target is out of use although its entry outlived the hold", pending)
+		}
+	}
+	h := newEraHarness(t, report(5, "a", 4))
+	h.step(&Changes{Items: []Item{gone}, Revision: 11, Era: 1})
+	h.advance(removalDelay)
+	h.restore(7, configItem(3, 7), report(5, "a", 3))
+	h.step(&Changes{Items: []Item{report(8, "a", 9)}, Revision: 8, Era: 2})
+	if h.f.View().Targets["a"] == nil {
+		t.Error("the target is out of use although it has reported to the restored store")
+	}
+}
+
+// TestDrainingTargetOfCopyStaysDraining has the copy name a target as ready that has begun to drain
+// since, until it reports again.
+func TestDrainingTargetOfCopyStaysDraining(t *testing.T) {
+	draining := report(11, "a", 5)
+	draining.Target.Draining = true
+	h := newEraHarness(t, report(5, "a", 4))
+	h.step(&Changes{Items: []Item{draining}, Revision: 11, Era: 1})
+	h.restore(7, configItem(3, 7), report(5, "a", 4))
+	if a := h.f.View().Targets["a"]; a == nil || !a.Draining {
+		t.Errorf("target is %+v after the restore, want it draining", a)
+	}
+	again := report(8, "a", 6)
+	again.Target.Draining = true
+	h.step(&Changes{Items: []Item{again}, Revision: 8, Era: 2})
+	h.advance(time.Minute)
+	if a := h.f.View().Targets["a"]; a == nil || a.Sequence != 6 || !a.Draining {
+		t.Errorf("target is %+v after its report, want that", a)
+	}
+}
+
+// TestTargetThatCopyLacksMayReportAgain has the copy lack a target that registered since: it stays in
+// use for the time in which it reports again.
+func TestTargetThatCopyLacksMayReportAgain(t *testing.T) {
+	h := newEraHarness(t, report(5, "a", 4), report(9, "b", 1), report(10, "c", 1))
+	h.restore(7, configItem(3, 7), report(5, "a", 4))
+	h.advance(removalDelay - time.Millisecond)
+	if v := h.f.View(); v.Targets["b"] == nil || v.Targets["c"] == nil {
+		t.Errorf("targets are %v right after the restore, want all three", v.Targets)
+	}
+	h.step(&Changes{Items: []Item{report(8, "b", 2)}, Revision: 8, Era: 2})
+	h.advance(removalDelay)
+	if v := h.f.View(); v.Targets["b"] == nil || v.Targets["c"] != nil {
+		t.Errorf("targets are %v later, want a and b", v.Targets)
+	}
+}
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -68,7 +68,7 @@
 	}
 	d := &discoveryDuty{
 		clock:    clk,
-		follower: discovery.New(discovery.Config{Self: s.Host, WaitForPeers: s.FirstStart, ApplyBound: s.ApplyBound, RemovalBound: s.RemovalBound, Seed: seed}),
+		follower: discovery.New(discovery.Config{Self: s.Host, WaitForPeers: s.FirstStart, ApplyBound: s.ApplyBound, RemovalBound: s.RemovalBound, ReportInterval: s.ReportInterval, Seed: seed}),
 		inbox:    ring.New[discovery.Event]("discovery", discoveryCapacity),
 		calls:    ring.New[*discovery.Call]("store", 1),
 		store:    store,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -27,6 +27,8 @@
 	// RemovalBound is the longest time in which a target whose entry was deleted must be out of use,
 	// 0 for the default.
 	RemovalBound time.Duration
+	// ReportInterval is how often targets report to the store, 0 for the default.
+	ReportInterval time.Duration
 	// Grace is the time between the stop signal and the forced end of the process.
 	Grace time.Duration
 	// MinDrain is the minimum time for which a stopping host still accepts requests. It is part
@@ -49,13 +51,14 @@
 	store              string
 	applyBound         time.Duration
 	removalBound       time.Duration
+	reportInterval     time.Duration
 	cold               relay.ColdPolicy
 }
 
 func (s *Settings) static() staticSettings {
 	return staticSettings{
 		host: s.Host, zone: s.Zone, region: s.Region, listen: s.Listen, store: s.Store,
-		applyBound: s.ApplyBound, removalBound: s.RemovalBound, cold: s.Cold,
+		applyBound: s.ApplyBound, removalBound: s.RemovalBound, reportInterval: s.ReportInterval, cold: s.Cold,
 	}
 }
 
