An evacuation stays in force after a store was restored

A host that lists the copy sent requests to the availability zone meanwhile.

Cause: what a list lacks was taken for withdrawn, although the store had lost it. A zone that was evacuated before the restore stays so until its item is written or deleted in the new era, and at most for the four report intervals in which the copy is distrusted. A zone that the copy names is out of use at once: that is the safe side.

Evidence: TestEvacuationOutlivesOlderCopy fails on the code before.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -252,7 +252,7 @@
 
 // Advance removes targets whose delay has expired and starts a call if one is due.
 func (f *Follower) Advance(now clock.Instant, fx *Effects) {
-	f.endHold(now)
+	f.endHold(now, fx)
 	f.removeDueTargets(now)
 	f.startDueCall(now, fx)
 	f.recordTargets(fx)
--- a/internal/core/discovery/era.go
+++ b/internal/core/discovery/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"pollentack.example/pollentack/internal/core/catalog"
@@ -11,7 +12,8 @@
 
 // When the store comes back from an older copy, its revisions go back and are given out again: a new
 // era begins, in which this host learns all items anew. What the copy lacks is written again within
-// seconds, and until then this host holds on to what it knew of the copy's targets, which may have left.
+// seconds, and until then this host holds on to what it knew: the copy's targets may have left, and an
+// availability zone may be evacuated that it does not name.
 
 const (
 	// defaultReportInterval is the Config.ReportInterval of a host without one.
@@ -37,6 +39,8 @@
 	// gone holds the targets whose entries were deleted, by name, as their last entry described
 	// them.
 	gone map[string]*catalog.Target
+	// evacuated holds the availability zones that were evacuated.
+	evacuated map[string]bool
 }
 
 func newFormerState() formerState { return formerState{gone: map[string]*catalog.Target{}} }
@@ -62,6 +66,7 @@
 			f.former.gone[it.Name] = it.Target
 		}
 	}
+	f.former.evacuated = maps.Clone(f.view.EvacuatedZones)
 	f.items = map[string]Item{}
 	f.view.Era, f.view.Revision, f.knownSince = era, 0, 0
 	f.rebuilding = true
@@ -116,7 +121,7 @@
 }
 
 // endHold applies what this host did not take from the copy and what was not written again since.
-func (f *Follower) endHold(now clock.Instant) {
+func (f *Follower) endHold(now clock.Instant, fx *Effects) {
 	if f.former.until == 0 || f.holds(now.Mono) {
 		return
 	}
@@ -130,13 +135,22 @@
 			f.applyTarget(now, &it)
 		}
 	}
+	f.updateZones(fx)
 }
 
-// updateZones applies which availability zones are evacuated.
+// updateZones applies which availability zones are evacuated. One that was evacuated before the copy
+// stays so while the copy is distrusted, unless an item says otherwise.
 func (f *Follower) updateZones(fx *Effects) {
 	evacuated := map[string]uint64{}
+	for zone := range f.former.evacuated {
+		evacuated[zone] = f.view.Revision
+	}
 	for key := range f.items {
-		if it := f.items[key]; it.Kind == ZoneItem && !it.Deleted {
+		switch it := f.items[key]; {
+		case it.Kind != ZoneItem:
+		case it.Deleted:
+			delete(evacuated, it.Name)
+		default:
 			evacuated[it.Name] = it.Revision
 		}
 	}
--- a/internal/core/discovery/era_test.go
+++ b/internal/core/discovery/era_test.go
@@ -12,6 +12,10 @@
 	return it
 }
 
+func zoneItem(revision uint64, zone string) Item {
+	return Item{Key: "z/" + zone, Kind: ZoneItem, Name: zone, Revision: revision}
+}
+
 // newEraHarness returns a harness that has listed items of the store's first era at revision 10.
 func newEraHarness(t *testing.T, items ...Item) *harness {
 	h := newHarness(t)
@@ -185,3 +189,22 @@
 		t.Errorf("targets are %v later, want a and b", v.Targets)
 	}
 }
+
+// TestEvacuationOutlivesOlderCopy has the copy lack an evacuation that was in force. It stays in force
+// until it is written again, withdrawn, or not named when the hold ends.
+func TestEvacuationOutlivesOlderCopy(t *testing.T) {
+	const hold = holdReports * defaultReportInterval
+	h := newEraHarness(t, zoneItem(9, "z0"), zoneItem(10, "z1"), zoneItem(10, "z2"))
+	h.restore(7, configItem(3, 7))
+	if z := h.f.View().EvacuatedZones; len(z) != 3 {
+		t.Errorf("evacuated are %v after the restore, want z0, z1 and z2", z)
+	}
+	h.step(&Changes{Items: []Item{zoneItem(8, "z0"), {Key: "z/z1", Kind: ZoneItem, Name: "z1", Revision: 9, Deleted: true}}, Revision: 9, Era: 2})
+	if z := h.f.View().EvacuatedZones; !z["z0"] || z["z1"] || !z["z2"] {
+		t.Errorf("evacuated are %v, want z0 and z2", z)
+	}
+	h.advance(hold)
+	if z := h.f.View().EvacuatedZones; len(z) != 1 || !z["z0"] {
+		t.Errorf("evacuated are %v after the hold, want z0", z)
+	}
+}
