A restored store brings no older configuration into force

A host that follows the restored store took it: callers got 404 on a confirmed route.

Cause: whatever the store holds last was put in force, whatever its version. Versions of a configuration only rise, also across a restore, so an item of a lower version than the one in force is recorded (config_outdated) and kept out. Peers are served the configuration in force in its place, so that a host that starts meanwhile gets that too.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -142,6 +142,8 @@
 	rebuilding bool
 	servedEra  uint64
 	former     formerState
+	// configValue is the encoded form of the configuration in force.
+	configValue []byte
 	// targetKeys holds the keys of the items of all targets by name.
 	targetKeys    map[string]string
 	storeFailures int
@@ -529,7 +531,7 @@
 	if it.Kind == OtherItem || it.Revision <= f.items[it.Key].Revision {
 		return
 	}
-	known := f.known(it)
+	known := f.known(it, fx)
 	f.items[it.Key] = known
 	f.tellPeers(&known, fx)
 	if it.DecodeError != "" {
@@ -547,8 +549,9 @@
 }
 
 // known returns the item as this host keeps it and passes it on. That of a deleted target keeps what
-// its last entry said.
-func (f *Follower) known(it *Item) Item {
+// its last entry said, and a configuration older than the one in force is replaced by that one: the
+// store has come back from an older copy, where the operator has not written it again yet.
+func (f *Follower) known(it *Item, fx *Effects) Item {
 	known := *it
 	switch {
 	case it.Kind == TargetItem:
@@ -556,6 +559,11 @@
 		if it.Deleted {
 			known.Target = f.items[it.Key].Target
 		}
+	case it.Kind == ConfigItem && it.Config != nil && f.view.Config != nil && it.Config.Version < f.view.Config.Version:
+		fx.Records = append(fx.Records, decision.Warning("config_outdated",
+			decision.Uint("version", it.Config.Version), decision.Uint("in_force", f.view.Config.Version), decision.Uint("revision", it.Revision),
+			decision.Uint("era", f.view.Era), decision.String("source", f.current)))
+		known.Config, known.Value = f.view.Config, f.configValue
 	}
 	return known
 }
@@ -566,7 +574,10 @@
 	if it.Deleted || it.Config == nil {
 		return
 	}
-	f.view.Config = it.Config
+	if f.view.Config != nil && it.Config.Version < f.view.Config.Version {
+		return
+	}
+	f.view.Config, f.configValue = it.Config, it.Value
 	f.view.ConfigRevision = it.Revision
 	f.viewChanged = true
 	fx.Records = append(fx.Records, decision.New("config_in_force",
--- a/internal/core/discovery/era.go
+++ b/internal/core/discovery/era.go
@@ -12,8 +12,8 @@
 
 // When the store comes back from an older copy, its revisions go back and are given out again: a new
 // era begins, in which this host learns all items anew. What the copy lacks is written again within
-// seconds, and until then this host holds on to what it knew: the copy's targets may have left, and an
-// availability zone may be evacuated that it does not name.
+// seconds, and until then this host holds on to what it knew: the copy's configuration is older, its
+// targets may have left, and an availability zone may be evacuated that it does not name.
 
 const (
 	// defaultReportInterval is the Config.ReportInterval of a host without one.
--- a/internal/core/discovery/era_test.go
+++ b/internal/core/discovery/era_test.go
@@ -208,3 +208,35 @@
 		t.Errorf("evacuated are %v after the hold, want z0", z)
 	}
 }
+
+// TestConfigurationOfOlderCopyIsNotTaken has the copy hold an older version than the one in force,
+// which then comes into force again on no host, also not on those that follow this one.
+func TestConfigurationOfOlderCopyIsNotTaken(t *testing.T) {
+	h := newEraHarness(t)
+	newest := configItem(11, 9)
+	newest.Value = []byte("nine")
+	h.step(&Changes{Items: []Item{newest}, Revision: 11, Era: 1})
+	h.restore(5, configItem(3, 7))
+	if v := h.f.View().Config.Version; v != 9 {
+		t.Errorf("version %d is in force after the restore, want 9", v)
+	}
+	var served *Item
+	for i := range h.fx.AppliedItems {
+		if it := &h.fx.AppliedItems[i]; it.Kind == ConfigItem {
+			served = it
+		}
+	}
+	if served == nil || string(served.Value) != "nine" || served.Revision != 3 {
+		t.Errorf("peers are served %+v, want the configuration in force at the item's revision", served)
+	}
+	for revision := uint64(6); revision <= 8; revision++ {
+		version := revision + 2
+		h.step(&Changes{Items: []Item{configItem(revision, version)}, Revision: revision, Era: 2})
+		if v := h.f.View().Config.Version; v < 9 {
+			t.Errorf("version %d is in force after version %d was written again, want 9 or later", v, version)
+		}
+	}
+	if v := h.f.View().Config; v.Version != 10 {
+		t.Errorf("version %d is in force at the end, want 10", v.Version)
+	}
+}
