A cold target's entry counts by itself, not by its revision

After a restore revisions are given out again, so the entry of a target that came back cold may have the revision that its entry before had. The relay compared revisions to see whether an entry is new, and gave such a target its full load: it takes a few requests a second and crashes at more.

An entry is new if it is another one than that of the view before: views share the entries that did not change, and discovery replaces only those that are newer.

Evidence: TestRevisionGivenOutAgainMakesTargetCold fails on the code before (cold until 0s).

--- a/internal/core/relay/cold_test.go
+++ b/internal/core/relay/cold_test.go
@@ -99,3 +99,25 @@
 		t.Errorf("%d requests in a second at two targets that are just back, want at most one each", len(sim.sends))
 	}
 }
+
+// TestRevisionGivenOutAgainMakesTargetCold guards against a cold target that gets its full load: after
+// the store came back from an older copy, its new entry may have the revision that its last one had.
+func TestRevisionGivenOutAgainMakesTargetCold(t *testing.T) {
+	sim := newSimulation(t, 1)
+	v := testView(1)
+	sim.step(&ViewChanged{View: v})
+	again := v.Clone()
+	spec := *v.Targets["one@z0"]
+	spec.ColdRemaining = 5 * time.Second
+	again.Targets["one@z0"] = &spec
+	sim.step(&ViewChanged{View: again})
+	until := sim.now.Mono + spec.ColdRemaining
+	if got := sim.engine.targets["one@z0"].coldUntil; got != until {
+		t.Errorf("target counts as cold until %v, want %v", got, until)
+	}
+	sim.advance(time.Second)
+	sim.step(&ViewChanged{View: again.Clone()})
+	if got := sim.engine.targets["one@z0"].coldUntil; got != until {
+		t.Errorf("a view with the same entry changed the end of the cold phase from %v to %v", until, got)
+	}
+}
--- a/internal/core/relay/engine.go
+++ b/internal/core/relay/engine.go
@@ -255,7 +255,7 @@
 		t = &target{spec: &catalog.Target{}, region: region, distance: e.distanceTo(spec.Zone, region)}
 		e.targets[name] = t
 	}
-	if spec.Revision != t.spec.Revision && spec.ColdRemaining > 0 {
+	if spec != t.spec && spec.ColdRemaining > 0 {
 		t.extendCold(now.Mono, spec.ColdRemaining)
 	}
 	t.spec = spec
