Record when a host is cut off from all targets

A host that reaches no target looked in its own log like one whose targets had all failed. Counter cut_offs. No decision uses it yet.

--- a/internal/core/relay/dispatch.go
+++ b/internal/core/relay/dispatch.go
@@ -232,6 +232,9 @@
 		return e.pollIdleShard(now, r, i, fx)
 	}
 	newest := sh.open[len(sh.open)-1]
+	if now.Mono >= newest.sent+newest.lateAfter {
+		e.observeSilence(now, newest, fx)
+	}
 	if !r.route.Idempotent || r.isDirect() || r.runsAlone() || !r.mayDispatch(sh) || r.hedges >= minHedges+len(r.shards)/hedgeDivisor {
 		return r.deadline, true
 	}
--- a/internal/core/relay/engine.go
+++ b/internal/core/relay/engine.go
@@ -56,6 +56,8 @@
 	// OverLimit counts the requests that were refused because the limits of targets left no
 	// room.
 	OverLimit uint64 `json:"over_limit"`
+	// CutOffs counts how often this host was cut off from all targets.
+	CutOffs uint64 `json:"cut_offs"`
 	// Handoffs counts the handoffs to peers.
 	Handoffs uint64 `json:"handoffs"`
 	// Outcomes counts the ended attempts by the name of their outcome.
@@ -108,6 +110,7 @@
 	timers        timerHeap
 	lastAttemptID AttemptID
 	crash         crashWatch
+	reach         reach
 	// restricted holds the targets that name a limit, want a pause or are cold. limitTurn numbers
 	// the turn of the hosts that share small limits.
 	restricted map[*target]bool
@@ -130,6 +133,7 @@
 		handoffs: map[HandoffID]*handoff{}, partitions: map[partitionKey]*partition{},
 		probes:     map[string]*zoneProbes{},
 		crash:      newCrashWatch(),
+		reach:      reach{silent: map[*target]bool{}},
 		restricted: map[*target]bool{},
 		zones:      zoneLatency{own: cfg.Zone, minLatency: map[string]time.Duration{}, minRTT: map[string]time.Duration{}},
 		counters:   Counters{Outcomes: map[string]uint64{}},
--- a/internal/core/relay/reply.go
+++ b/internal/core/relay/reply.go
@@ -42,6 +42,7 @@
 	}
 	e.settleAttempt(a, ev)
 	if a.via == nil {
+		e.observeReach(now, a, ev, fx)
 		e.observeReply(now, a, ev, fx)
 	}
 	if ev.Outcome == Answered {
@@ -85,6 +86,17 @@
 	}
 }
 
+// observeReach updates what this host knows of its way to the targets from the outcome of an attempt
+// that it sent itself.
+func (e *Engine) observeReach(now clock.Instant, a *attempt, ev *AttemptEnded, fx *Effects) {
+	switch ev.Outcome {
+	case Answered, Declined, Misdirected:
+		e.observeContact(now, fx)
+	case Unreachable, Lost, TimedOut:
+		e.observeSilence(now, a, fx)
+	}
+}
+
 // observe updates the state of a target from the outcome of an attempt.
 func (e *Engine) observe(now clock.Instant, a *attempt, ev *AttemptEnded) {
 	t := a.target
