Hosts cut off from all targets hand their queries to peers

Callers of such a host got 504 and 503 for the whole time of the cut: it put each target into a backoff of its own, probed each again and again, and handed shards to peers that were cut off as well, whose refusals it counted against the targets.

Cause: a host concluded from silence that a target had failed, and had no notion that the fault may be its own. Class: an observer that takes the loss of its own connection for the failure of what it observes.

Once four targets are silent and none has replied for 100 ms, a host checks one target of each availability zone; if it reaches none it counts as cut off. It then hands queries to hubs that are not, of its own region first, holds no failure against a target, and refuses handoffs of peers with 119 targets_unreachable, which has them take another peer at once and leave this one alone for 1 to 4 s. What no peer takes is refused at once. Four checks a second show when the cut has ended. Targets that hang but accept connections, or that fell silent in one zone, are not mistaken for a cut.

Requests to one service still end at their deadline.

--- a/internal/core/relay/cluster_test.go
+++ b/internal/core/relay/cluster_test.go
@@ -24,6 +24,9 @@
 	timerCost = 5 * time.Microsecond
 )
 
+// checkTimeout is how long a host waits for a connection to a target that it checks.
+const checkTimeout = 100 * time.Millisecond
+
 // retryWindow is the window of the cluster's retry policy.
 const retryWindow = 10 * time.Second
 
@@ -55,6 +58,8 @@
 	wakeAt    time.Duration
 	// frozen hosts neither step nor send.
 	frozen bool
+	// cutOff states that the host reaches no target, refused that it is told so at once.
+	cutOff, refused bool
 	// inbound maps the key of a request from a peer to its sender and the sender's handoff.
 	inbound map[uint64]inboundHandoff
 	open    map[string]int
@@ -144,7 +149,15 @@
 			v.Targets[instance] = &catalog.Target{Instance: instance, Service: name, Address: instance, Zone: fmt.Sprintf("z%d", zone), Slots: 3, Revision: 1}
 		}
 	}
-	v.Config = catalog.NewConfig(1, []*catalog.Route{route}, services, catalog.Limits{})
+	desk := &catalog.Route{
+		Name: "desk", Host: "h", Prefix: "/desk/", Timeout: timeout, LatencyObjective: objective, MaxAttempts: 2, Service: "desk",
+	}
+	services["desk"] = &catalog.Service{Name: "desk", MaxConnections: maxConnections}
+	for zone := range 3 {
+		instance := fmt.Sprintf("desk@z%d", zone)
+		v.Targets[instance] = &catalog.Target{Instance: instance, Service: "desk", Address: instance, Zone: fmt.Sprintf("z%d", zone), Slots: 3, Revision: 1}
+	}
+	v.Config = catalog.NewConfig(1, []*catalog.Route{route, desk}, services, catalog.Limits{})
 	return v
 }
 
@@ -172,13 +185,18 @@
 
 // submit sends a query to a host at a time from now.
 func (c *cluster) submit(host string, in time.Duration) uint64 {
+	return c.submitTo(host, "/all/x", in)
+}
+
+// submitTo is submit for any path.
+func (c *cluster) submitTo(host, path string, in time.Duration) uint64 {
 	c.lastKey++
 	key := c.lastKey
 	due := c.now.Mono + in
 	c.started[key] = due
 	h := c.hosts[host]
 	c.at(due, func() {
-		h.process(hopCost, &Submit{Request: &Request{Key: key, ID: fmt.Sprint(key), Host: "h", Path: "/all/x"}})
+		h.process(hopCost, &Submit{Request: &Request{Key: key, ID: fmt.Sprint(key), Host: "h", Path: path}})
 	})
 	return key
 }
@@ -223,7 +241,11 @@
 		})
 	}
 	for _, x := range h.fx.Checks {
-		c.at(c.now.Mono+time.Millisecond, func() { h.process(timerCost, &TargetChecked{ID: x.ID}) })
+		after := time.Millisecond
+		if h.cutOff && !h.refused {
+			after = checkTimeout
+		}
+		c.at(c.now.Mono+after, func() { h.process(timerCost, &TargetChecked{ID: x.ID, Reached: !h.cutOff}) })
 	}
 	for _, a := range h.fx.Answers {
 		if in, ok := h.inbound[a.Key]; ok {
@@ -264,6 +286,10 @@
 		h.call(s.Via, s.Gather, func(a *Answer, _ time.Duration) Event {
 			out := &AttemptEnded{Attempt: s.Attempt, Outcome: Lost}
 			switch {
+			case a.Code == result.TargetsUnreachable:
+				out.Outcome, out.PeerFailed, out.PeerCutOff = Unsent, true, true
+			case a.Response != nil:
+				out.Outcome, out.Response = Answered, a.Response
 			case len(a.Parts) == 1:
 				out.Outcome, out.Response = Answered, &Response{Status: 200, Proof: a.Parts[0].Proof, Body: a.Body}
 			case a.Code.Kind() == result.NotRun:
@@ -278,6 +304,12 @@
 	h.maxOpen = max(h.maxOpen, h.open[s.Target.Instance])
 	arrival := h.spend(sendCost) + rttBetween(h.member.Zone, s.Target.Zone)/2
 	ended, delay := c.respond(s.Target.Instance, arrival)
+	switch {
+	case h.cutOff && h.refused:
+		ended, delay = &AttemptEnded{Outcome: Unreachable, Refused: true}, 0
+	case h.cutOff:
+		ended = nil
+	}
 	if ended == nil {
 		ended, delay = &AttemptEnded{Outcome: TimedOut}, s.Deadline-arrival
 	}
--- a/internal/core/relay/completion.go
+++ b/internal/core/relay/completion.go
@@ -58,7 +58,7 @@
 // fail ends a request that cannot be completed. For a request to a single service the last
 // error response of a target is passed on, if there is one.
 func (e *Engine) fail(now clock.Instant, r *request, deadlinePassed bool, fx *Effects) {
-	answer := Answer{Key: r.Key, Code: e.failureCode(r, deadlinePassed)}
+	answer := Answer{Key: r.Key, Code: e.failureCode(now, r, deadlinePassed)}
 	if failure := r.shards[0].failure; failure != nil && !r.isGather() {
 		answer.Code = result.OK
 		answer.Response = failure
@@ -75,11 +75,13 @@
 
 // failureCode returns the code for a failed request. It is of the kind NotRun only if it is
 // certain that no target ran the request.
-func (e *Engine) failureCode(r *request, deadlinePassed bool) result.Code {
+func (e *Engine) failureCode(now clock.Instant, r *request, deadlinePassed bool) result.Code {
 	ran := r.ran || r.open > 0
 	switch {
 	case !ran && deadlinePassed:
 		return result.DeadlineTooShort
+	case !ran && e.isStuck(now, r):
+		return result.TargetsUnreachable
 	case !ran && e.allServicesHaveTargets(r):
 		return result.Shed
 	case !ran:
--- a/internal/core/relay/crash.go
+++ b/internal/core/relay/crash.go
@@ -49,6 +49,8 @@
 	// Refused states that the target's host refused the connection, so that its process has
 	// ended. It is false if the target listens, and if there was no answer.
 	Refused bool
+	// Reached states that the target accepted the connection.
+	Reached bool
 }
 
 func (*TargetChecked) event() {}
@@ -190,6 +192,7 @@
 }
 
 func (e *Engine) targetChecked(now clock.Instant, ev *TargetChecked, fx *Effects) {
+	e.reachProbed(now, ev, fx)
 	c := e.crash.checks[ev.ID]
 	if c == nil {
 		return
--- a/internal/core/relay/dispatch.go
+++ b/internal/core/relay/dispatch.go
@@ -66,7 +66,7 @@
 	if t == nil && !eligible {
 		return noTarget
 	}
-	if t == nil || now.Mono < t.backoffUntil {
+	if t == nil || e.backsOff(now, t) {
 		return noCapacity
 	}
 	extra := sh.delivered > 0
@@ -85,7 +85,7 @@
 // useful: by the cutoff if the coverage suffices, otherwise by the deadline. It is false for
 // a target in backoff, and for a hedge to a stalled target.
 func (e *Engine) canFinishInTime(now clock.Instant, r *request, sh *shard, t *target) bool {
-	if now.Mono < t.backoffUntil || len(sh.open) > 0 && t.stalled(now.Mono) {
+	if e.backsOff(now, t) || len(sh.open) > 0 && !e.reach.cutOff && t.stalled(now.Mono) {
 		return false
 	}
 	end := now.Mono + e.expectedLatency(now.Mono, sh.service, t)
@@ -239,6 +239,9 @@
 		return r.deadline, true
 	}
 	due = e.hedgeAt(now, r, sh, newest)
+	if e.reach.cutOff && newest.via == nil {
+		due = now.Mono
+	}
 	if due > now.Mono {
 		return due, true
 	}
@@ -257,6 +260,9 @@
 		newest := sh.open[len(sh.open)-1]
 		return newest.sent + newest.lateAfter, true
 	case noCapacity:
+		if e.isStuck(now, r) {
+			return r.deadline, false
+		}
 		if !sh.waiting && e.limitWait(now, r, sh) > e.limitPatience(now, r, sh) {
 			return r.deadline, false
 		}
--- a/internal/core/relay/event.go
+++ b/internal/core/relay/event.go
@@ -148,6 +148,8 @@
 	Refused bool
 	// PeerFailed states that the peer that forwarded the attempt failed, not the target.
 	PeerFailed bool
+	// PeerCutOff states that it failed because it is cut off from all targets.
+	PeerCutOff bool
 }
 
 // AnswerWritten reports how long after the decision an answer was ready to be sent to its
--- a/internal/core/relay/handoff.go
+++ b/internal/core/relay/handoff.go
@@ -108,7 +108,7 @@
 	if r.Gather == nil && !r.runsAlone() {
 		rest = e.assignParts(now, r, rest, e.cfg.Region, fx)
 	}
-	if e.isHub(e.cfg.Host) {
+	if e.gathersItself() {
 		// This host gathers those of the rest for which it knows a sound target in its region.
 		remote = append(remote, e.shardsWithoutSoundTarget(now, r, rest)...)
 		rest = nil
@@ -127,6 +127,9 @@
 	}
 }
 
+// gathersItself reports whether this host sends gathered queries to targets.
+func (e *Engine) gathersItself() bool { return e.isHub(e.cfg.Host) && !e.reach.cutOff }
+
 // mayDelegate reports whether shards of the request may be handed off. Shards that a peer handed
 // off may go on to another region only if the peer is in this one, so that no shard comes back.
 func (e *Engine) mayDelegate(r *request) bool {
@@ -140,7 +143,7 @@
 // shardsToDelegate returns the indexes of the shards that a peer may gather: those with a
 // target in this host's region and the others.
 func (e *Engine) shardsToDelegate(r *request) (local, remote []int) {
-	hub := e.isHub(e.cfg.Host)
+	hub := e.gathersItself()
 	for i := range r.shards {
 		sh := &r.shards[i]
 		if sh.done || sh.handoff != nil || len(sh.open) > 0 || sh.sends > 0 && hub || !r.mayDispatch(sh) {
@@ -215,11 +218,14 @@
 	return false
 }
 
-// forwarder returns the peer that forwards an attempt to a target in another region, or nil
-// if this host sends the attempt itself. Only hosts in the target's region connect to it:
+// forwarder returns the peer that forwards an attempt to a target in another region, or to any target
+// while this host is cut off, and nil if this host sends the attempt itself. Only hosts in the target's region connect to it:
 // this limits the connections per target, and the links between hosts are already
 // established.
 func (e *Engine) forwarder(now clock.Instant, r *request, t *target) *peer {
+	if e.reach.cutOff && r.isGather() {
+		return e.relayPeer(now, r, t)
+	}
 	if !r.isGather() || t.distance != otherRegion {
 		return nil
 	}
@@ -258,7 +264,7 @@
 		if !e.isHub(name) || now.Mono < p.backoffUntil || p.stalled(now.Mono) {
 			continue
 		}
-		if e.isHub(e.cfg.Host) && p.Region == e.cfg.Region {
+		if e.gathersItself() && p.Region == e.cfg.Region {
 			continue // this host has the same targets
 		}
 		local, ok := byRegion[p.Region]
@@ -368,9 +374,15 @@
 		h.peer.lastReply = now.Mono
 		e.observePeerRTT(h.peer, max(0, now.Mono-h.sentAt-ev.PeerElapsed))
 	}
-	stopping := ev.Answer != nil && ev.Answer.Code == result.Draining
-	if ev.Answer == nil || stopping {
+	cutOff := ev.Answer != nil && ev.Answer.Code == result.TargetsUnreachable
+	unable := cutOff || ev.Answer != nil && ev.Answer.Code == result.Draining
+	switch {
+	case cutOff:
+		h.peer.backOffCutOff(now.Mono)
+	case ev.Answer == nil || unable:
 		h.peer.backoffUntil = now.Mono + peerBackoff
+	default:
+		h.peer.cutOffs = 0
 	}
 	r := h.request
 	if r.ended {
@@ -383,11 +395,11 @@
 			decision.String("request", r.ID), decision.String("route", r.route.Name), decision.String("peer", h.peer.Host),
 			decision.Int("shards", len(h.shards)), decision.String("reason", ev.Reason), decision.Millis("elapsed", now.Mono-h.sentAt)))
 	}
-	e.reclaimShards(r, h, stopping || ev.Answer == nil && ev.NotSent)
+	e.reclaimShards(r, h, unable || ev.Answer == nil && ev.NotSent)
 	if ev.Answer != nil && len(ev.Answer.Parts) > 0 {
 		e.recordAnswer(now, r, fx)
 	}
-	if ev.Answer == nil || stopping {
+	if ev.Answer == nil || unable {
 		e.delegate(now, r, fx)
 	}
 	e.poll(now, r, fx)
--- a/internal/core/relay/partition.go
+++ b/internal/core/relay/partition.go
@@ -55,7 +55,7 @@
 	}
 	usable := func(p *peer) bool { return now.Mono >= p.backoffUntil && !p.stalled(now.Mono) }
 	gatherers := e.gatherersIn(region, len(services)/minPartShards, usable)
-	if len(gatherers) < 2 {
+	if len(gatherers) == 0 || len(gatherers) == 1 && !e.reach.cutOff {
 		return shards
 	}
 	p := e.partitionOf(partitionKey{r.route.Name, region}, services, gatherers)
@@ -87,7 +87,7 @@
 	var list []gatherer
 	for i := range e.members {
 		m := &e.members[i]
-		if m.Region != region || !e.isHub(m.Host) {
+		if m.Region != region || !e.isHub(m.Host) || m.Host == e.cfg.Host && e.reach.cutOff {
 			continue
 		}
 		g := gatherer{host: m.Host, capacity: max(1, m.Capacity)}
--- a/internal/core/relay/peer.go
+++ b/internal/core/relay/peer.go
@@ -32,6 +32,8 @@
 	// linkWanted is set once a link to the peer was asked for: the first query at a host would
 	// otherwise wait for a link to each host that gathers a part.
 	linkWanted bool
+	// cutOffs counts the refusals in a row because the peer was cut off from all targets.
+	cutOffs int
 	// rtt tracks the round-trip time of handoffs, without the peer's own work.
 	rtt quantile.MeanDeviation
 }
--- a/internal/core/relay/reach.go
+++ b/internal/core/relay/reach.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"pollentack.example/pollentack/internal/core/clock"
@@ -8,29 +10,45 @@
 )
 
 // A host may be cut off from all targets while its callers, the store and the other hosts still reach
-// it. Each target then looks as if it had failed. What tells the two apart is that no target replies:
-// the host counts as cut off once several are silent and none has replied since.
+// it. Each target then looks as if it had failed. Once several are silent and none has replied since,
+// the host checks targets of all availability zones. If it reaches none, it is cut off: it sends what
+// it is asked through peers, and refuses what peers hand to it.
 
 const (
-	// minSilentTargets is the number of silent targets from which on the cause is this host's side.
-	// Where fewer are published, all must be silent, and at least minSilentOfFew.
+	// minSilentTargets is the number of silent targets from which on the host checks its own way to
+	// them. Where fewer are published, all must be silent, and at least minSilentOfFew.
 	minSilentTargets = 4
 	minSilentOfFew   = 2
 	// minSilence is the least time without a reply. Targets pause for a moment, each at its own
 	// time.
 	minSilence = 100 * time.Millisecond
+	// reachProbeInterval is the least time between two rounds of checks while a host is cut off, and
+	// suspicionInterval while it is not.
+	reachProbeInterval = 250 * time.Millisecond
+	suspicionInterval  = time.Second
+	// maxCutOffBackoff bounds how long nothing is sent to a peer that is cut off, which begins with
+	// peerBackoff and doubles with each refusal.
+	maxCutOffBackoff = 4 * time.Second
 )
 
 // reach is what a host knows of its own way to the targets.
 type reach struct {
-	// contactAt is when a target last replied.
+	// contactAt is when a target last replied or accepted a connection.
 	contactAt time.Duration
 	// silent holds the targets to which an attempt of this host has failed or been late since. since
 	// is when the first of these attempts was sent, contactAt if that is later.
 	silent map[*target]bool
 	since  time.Duration
-	// cutOff is set once enough targets are silent, until one replies.
-	cutOff bool
+	// cutOff is set once no target could be reached, until one is. regainedAt is when that was.
+	cutOff     bool
+	regainedAt time.Duration
+	// probes holds the checks in progress. The next round of checks may begin at probeAt.
+	probes  map[CheckID]*target
+	probeAt time.Duration
+}
+
+func newReach() reach {
+	return reach{silent: map[*target]bool{}, probes: map[CheckID]*target{}}
 }
 
 // observeSilence notes that an attempt of this host to a target failed or is late.
@@ -44,22 +62,139 @@
 	}
 	e.reach.silent[a.target] = true
 	needed := max(minSilentOfFew, min(minSilentTargets, len(e.targets)))
-	if e.reach.cutOff || len(e.reach.silent) < needed || now.Mono-e.reach.since < minSilence {
+	if !e.reach.cutOff && len(e.reach.silent) >= needed && now.Mono-e.reach.since >= minSilence {
+		e.probeReach(now, fx)
+	}
+}
+
+// observeContact notes that this host has reached a target.
+func (e *Engine) observeContact(now clock.Instant, t *target, fx *Effects) {
+	if e.reach.cutOff {
+		e.reach.cutOff, e.reach.regainedAt = false, now.Mono
+		fx.Records = append(fx.Records, decision.New("targets_reached",
+			decision.String("target", t.spec.Instance), decision.Millis("cut_off_for", now.Mono-e.reach.since)))
+		// What the targets missed is not held against them.
+		for s := range e.reach.silent {
+			s.consecutiveFailures, s.backoffUntil, s.lastFailureRate = 0, 0, 0
+		}
+	}
+	e.reach.contactAt = now.Mono
+	clear(e.reach.silent)
+	clear(e.reach.probes)
+}
+
+// excused reports whether the failure of an attempt says nothing about its target, since this host is
+// or was cut off.
+func (e *Engine) excused(a *attempt) bool {
+	return a.via == nil && (e.reach.cutOff || a.sent < e.reach.regainedAt)
+}
+
+// probeReach begins a round of checks if it is due.
+func (e *Engine) probeReach(now clock.Instant, fx *Effects) {
+	if now.Mono < e.reach.probeAt || len(e.reach.probes) > 0 {
 		return
 	}
+	e.reach.probeAt = now.Mono + suspicionInterval
+	if e.reach.cutOff {
+		e.reach.probeAt = now.Mono + reachProbeInterval
+	}
+	for _, t := range e.probeTargets() {
+		e.crash.lastCheckID++
+		e.reach.probes[e.crash.lastCheckID] = t
+		fx.Checks = append(fx.Checks, Check{ID: e.crash.lastCheckID, Target: t.spec})
+	}
+}
+
+// probeTargets returns one target of each availability zone, if possible one that has not failed.
+func (e *Engine) probeTargets() []*target {
+	sound, failed := map[string][]*target{}, map[string][]*target{}
+	for _, name := range sortedKeys(e.targets) {
+		t := e.targets[name]
+		if e.reach.silent[t] || t.consecutiveFailures > 0 {
+			failed[t.spec.Zone] = append(failed[t.spec.Zone], t)
+		} else {
+			sound[t.spec.Zone] = append(sound[t.spec.Zone], t)
+		}
+	}
+	var chosen []*target
+	for _, zone := range sortedKeys(e.cfg.Regions) {
+		list := sound[zone]
+		if len(list) == 0 {
+			list = failed[zone]
+		}
+		if len(list) > 0 {
+			chosen = append(chosen, list[e.rng.IntN(len(list))])
+		}
+	}
+	return chosen
+}
+
+// reachProbed handles the result of a check. The host is cut off once a whole round has failed and no
+// target has replied meanwhile.
+func (e *Engine) reachProbed(now clock.Instant, ev *TargetChecked, fx *Effects) {
+	t := e.reach.probes[ev.ID]
+	if t == nil {
+		return
+	}
+	delete(e.reach.probes, ev.ID)
+	switch {
+	case ev.Reached:
+		e.observeContact(now, t, fx)
+	case len(e.reach.probes) == 0 && !e.reach.cutOff:
+		e.cutOff(now, fx)
+	}
+}
+
+func (e *Engine) cutOff(now clock.Instant, fx *Effects) {
 	e.reach.cutOff = true
+	e.reach.probeAt = now.Mono + reachProbeInterval
 	e.counters.CutOffs++
 	fx.Records = append(fx.Records, decision.Warning("targets_unreachable",
 		decision.Int("silent", len(e.reach.silent)), decision.Int("targets", len(e.targets)), decision.Millis("silent_for", now.Mono-e.reach.since)))
+	for _, key := range slices.Sorted(maps.Keys(e.requests)) {
+		e.arm(e.requests[key], now.Mono)
+	}
 }
 
-// observeContact notes that a target has replied to this host.
-func (e *Engine) observeContact(now clock.Instant, fx *Effects) {
-	clear(e.reach.silent)
-	e.reach.contactAt = now.Mono
-	if !e.reach.cutOff {
-		return
+// mayRelay reports whether a peer may take requests on a route in place of this host, which is cut
+// off.
+func (e *Engine) mayRelay(now clock.Instant, r *request, p *peer) bool {
+	return now.Mono >= p.backoffUntil && !p.stalled(now.Mono) && r.route.AllowsRegion(p.Region) && r.isGather() && e.isHub(p.Host)
+}
+
+// relayPeer returns the peer through which this host, which is cut off, sends a request to a target,
+// or nil if there is none: one in the target's region, the nearest first and then the least loaded.
+func (e *Engine) relayPeer(now clock.Instant, r *request, t *target) *peer {
+	var best *peer
+	var bestRank rank
+	for i := range e.members {
+		p := e.peers[e.members[i].Host]
+		if p == nil || !e.mayRelay(now, r, p) || p.Region != t.region {
+			continue
+		}
+		rk := rank{tier: int(p.distance), cost: p.load()}
+		if best == nil || rk.less(bestRank) {
+			best, bestRank = p, rk
+		}
 	}
-	e.reach.cutOff = false
-	fx.Records = append(fx.Records, decision.New("targets_reached", decision.Millis("cut_off_for", now.Mono-e.reach.since)))
+	return best
+}
+
+// isStuck reports whether no peer may take the request in place of this host, which is cut off.
+func (e *Engine) isStuck(now clock.Instant, r *request) bool {
+	if !e.reach.cutOff || !r.isGather() {
+		return false
+	}
+	for _, p := range e.peers {
+		if e.mayRelay(now, r, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// backOffCutOff starts the backoff of a peer that is cut off from all targets.
+func (p *peer) backOffCutOff(now time.Duration) {
+	p.backoffUntil = now + min(peerBackoff<<min(p.cutOffs, 4), maxCutOffBackoff)
+	p.cutOffs++
 }
--- /dev/null
+++ b/internal/core/relay/reach_test.go
@@ -0,0 +1,96 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pollentack.example/pollentack/internal/core/result"
+)
+
+// TestHostsCutOffFromTargetsServeThroughPeers cuts all hosts of one availability zone and one of
+// another off from all targets, while the other hosts reach both. Their callers must be served as
+// those of the others, through these, and directly again once the cut has ended.
+func TestHostsCutOffFromTargetsServeThroughPeers(t *testing.T) {
+	const objective, between, settle = 250 * time.Millisecond, 25 * time.Millisecond, time.Second
+	for _, shards := range []int{20, 180} {
+		for _, refused := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d shards, refused %v", shards, refused), func(t *testing.T) {
+				c := newCluster(t, shards, 175, objective, 800, 800, 800)
+				submit := func(n int) (keys []uint64) {
+					for i := range n {
+						keys = append(keys, c.submit(fmt.Sprintf("h%d-%d", i%3, i/3%3), time.Duration(i)*between))
+					}
+					c.advance(time.Duration(n) * between)
+					return keys
+				}
+				submit(40)
+				for _, host := range []string{"h0-0", "h0-1", "h0-2", "h1-0"} {
+					c.hosts[host].cutOff, c.hosts[host].refused = true, refused
+				}
+				submit(int(settle / between))
+				during := submit(80)
+				for _, h := range c.hosts {
+					h.cutOff = false
+				}
+				submit(int(settle / between))
+				for _, h := range c.hosts {
+					if h.engine.reach.cutOff {
+						t.Errorf("%s counts as cut off after the cut has ended", h.member.Host)
+					}
+				}
+				after := submit(40)
+				c.advance(timeout)
+				for n, keys := range [][]uint64{during, after} {
+					failed, late := 0, 0
+					for _, key := range keys {
+						a := c.answers[key]
+						if a.Code != result.OK || a.Missing > shards/10 {
+							failed++
+						}
+						if c.elapsed[key] > objective {
+							late++
+						}
+					}
+					if allowed := len(keys) / 20; failed > allowed || late > allowed {
+						t.Errorf("phase %d: of %d requests %d failed or lacked parts and %d were late, want at most %d", n, len(keys), failed, late, allowed)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestHostCutOffWithoutPeersRefusesAtOnce checks that a request that no host can send to a target is
+// refused when it comes, as one that has not run.
+func TestHostCutOffWithoutPeersRefusesAtOnce(t *testing.T) {
+	const objective = 250 * time.Millisecond
+	c := newCluster(t, 20, 175, objective, 800)
+	for _, h := range c.hosts {
+		h.cutOff = true
+	}
+	for i := range 30 {
+		c.submit(fmt.Sprintf("h%d-0", i%3), time.Duration(i)*20*time.Millisecond)
+	}
+	c.advance(3 * time.Second)
+	const requests, between, atOnce = 20, 50 * time.Millisecond, 10 * time.Millisecond
+	keys := make([]uint64, 0, requests)
+	for i := range requests {
+		keys = append(keys, c.submit("h0-0", time.Duration(i)*between))
+	}
+	c.advance(timeout)
+	waited := 0
+	for _, key := range keys {
+		a := c.answers[key]
+		if a.Code != result.TargetsUnreachable || a.RetryAfter <= 0 {
+			t.Errorf("code %v, retry after %v, want %v and a delay", a.Code, a.RetryAfter, result.TargetsUnreachable)
+		}
+		if a.Elapsed > atOnce {
+			waited++
+		}
+	}
+	// A request now and then finds out whether a peer reaches targets again.
+	if waited > requests/5 {
+		t.Errorf("%d of %d requests were not refused at once", waited, requests)
+	}
+}
--- a/internal/core/relay/reply.go
+++ b/internal/core/relay/reply.go
@@ -28,9 +28,13 @@
 	}
 	if a.via != nil {
 		a.via.forwarded--
-		if ev.PeerFailed {
+		switch {
+		case ev.PeerCutOff:
+			a.via.backOffCutOff(now.Mono)
+		case ev.PeerFailed:
 			a.via.backoffUntil = now.Mono + peerBackoff
-		} else {
+		default:
+			a.via.cutOffs = 0
 			a.via.lastReply = now.Mono
 		}
 	}
@@ -91,7 +95,7 @@
 func (e *Engine) observeReach(now clock.Instant, a *attempt, ev *AttemptEnded, fx *Effects) {
 	switch ev.Outcome {
 	case Answered, Declined, Misdirected:
-		e.observeContact(now, fx)
+		e.observeContact(now, a.target, fx)
 	case Unreachable, Lost, TimedOut:
 		e.observeSilence(now, a, fx)
 	}
@@ -100,6 +104,9 @@
 // observe updates the state of a target from the outcome of an attempt.
 func (e *Engine) observe(now clock.Instant, a *attempt, ev *AttemptEnded) {
 	t := a.target
+	if ev.Outcome != Answered && e.excused(a) {
+		return
+	}
 	switch ev.Outcome {
 	case Answered:
 		t.lastReply = now.Mono
--- a/internal/core/relay/simulation_test.go
+++ b/internal/core/relay/simulation_test.go
@@ -162,7 +162,7 @@
 	sim.cancels = append(sim.cancels, sim.fx.Cancels...)
 	sim.tells = append(sim.tells, sim.fx.Tells...)
 	for _, c := range sim.fx.Checks {
-		sim.after(time.Millisecond, &TargetChecked{ID: c.ID, Refused: sim.refusing[c.Target.Instance]})
+		sim.after(time.Millisecond, &TargetChecked{ID: c.ID, Refused: sim.refusing[c.Target.Instance], Reached: !sim.refusing[c.Target.Instance]})
 	}
 	for _, a := range sim.fx.Answers {
 		if _, duplicate := sim.answers[a.Key]; duplicate {
--- a/internal/core/relay/submit.go
+++ b/internal/core/relay/submit.go
@@ -40,6 +40,9 @@
 func (e *Engine) submit(now clock.Instant, rq *Request, fx *Effects) {
 	e.counters.Requests++
 	route, code := e.routeFor(rq)
+	if code == result.OK && rq.Gather != nil && e.reach.cutOff {
+		code = result.TargetsUnreachable
+	}
 	if code != result.OK {
 		e.refuse(rq, route, code, fx)
 		return
--- a/internal/core/relay/target.go
+++ b/internal/core/relay/target.go
@@ -134,6 +134,11 @@
 	t.backoffUntil = now + time.Duration(float64(pause)*(0.5+jitter))
 }
 
+// backsOff reports whether nothing may be sent to the target because it failed lately.
+func (e *Engine) backsOff(now clock.Instant, t *target) bool {
+	return now.Mono < t.backoffUntil && !e.reach.cutOff
+}
+
 func (t *target) removeAttempt(a *attempt) {
 	for i, o := range t.open {
 		if o == a {
@@ -178,6 +183,7 @@
 func (e *Engine) rank(now time.Duration, s *service, t *target, granted int) rank {
 	r := rank{tier: tierHealthy, cost: e.cost(now, s, t)}
 	switch {
+	case e.reach.cutOff: // the failures may be this host's
 	case now < t.backoffUntil:
 		r.tier = tierBackoff
 	case t.stalled(now):
@@ -217,7 +223,7 @@
 		}
 		eligible = true
 		full := len(t.open) >= t.quota || !t.limit.allows(now.Mono) || now.Mono < t.pausedUntil
-		if full && e.forwarder(now, r, t) == nil || !t.allowCold(now.Mono, s, false) {
+		if (full || e.reach.cutOff && r.isGather()) && e.forwarder(now, r, t) == nil || !t.allowCold(now.Mono, s, false) {
 			continue
 		}
 		rk := e.rank(now.Mono, s, t, 0)
--- a/internal/core/result/code.go
+++ b/internal/core/result/code.go
@@ -34,6 +34,8 @@
 	Shed             Code = 116
 	BodyTooLarge     Code = 117
 	HeaderTooLarge   Code = 118
+	// TargetsUnreachable is the code of a host that is cut off from all targets.
+	TargetsUnreachable Code = 119
 )
 
 // Codes of kind "ran in part": some targets acted on the request.
@@ -91,6 +93,7 @@
 	{Shed, "shed", 503, "load shedding: every target that saw the request declined it"},
 	{BodyTooLarge, "body_too_large", 413, "the request body is above the published limit"},
 	{HeaderTooLarge, "header_too_large", 431, "the request header is above the published limit"},
+	{TargetsUnreachable, "targets_unreachable", 503, "this host reaches no target, and no other host took the request"},
 	{CoverageTooLow, "coverage_too_low", 504, "fewer shards answered than the service's policy demands"},
 	{DeadlineExceeded, "deadline_exceeded", 504, "the deadline passed while targets were running the request"},
 	{SnapshotRetired, "snapshot_retired", 504, "the snapshot was retired and no time was left to begin again"},
--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -205,17 +205,18 @@
 // ended refuses a connection within the round-trip time; one that is silent shows nothing.
 const checkTimeout = 100 * time.Millisecond
 
-// Refuses reports whether a target's host refuses connections, as it does once the process has
-// ended. A connection that the check makes is kept for the next request.
-func (c *Client) Refuses(t *catalog.Target) bool {
+// Check connects to a target. refused reports whether its host refuses connections, as it does once
+// the process has ended, and reached whether it accepts them. The connection is kept for the next
+// request.
+func (c *Client) Check(t *catalog.Target) (refused, reached bool) {
 	conn, err := dial(t.Address, checkTimeout)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET), false
 	}
 	c.dials.Add(1)
 	conn.expires = time.Now().Add(extraKeepAlive)
 	c.pool.put(poolKeyOf(t), conn)
-	return false
+	return false, true
 }
 
 // noResponse returns the reply of an attempt that ended without a response.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -255,7 +255,10 @@
 		// If all workers are busy, the first handoff makes the link.
 		_ = u.workers.Submit(func() { u.handoffs.link(j.link) })
 	case j.check != nil:
-		err := u.workers.Submit(func() { u.report(&relay.TargetChecked{ID: j.check.ID, Refused: u.client.Refuses(j.check.Target)}) })
+		err := u.workers.Submit(func() {
+			refused, reached := u.client.Check(j.check.Target)
+			u.report(&relay.TargetChecked{ID: j.check.ID, Refused: refused, Reached: reached})
+		})
 		if err != nil {
 			u.report(&relay.TargetChecked{ID: j.check.ID})
 		}
