Peers forward requests to one service for a host that is cut off

A request to a single service ran from the host that took it or not at all: at a host that is cut off from all targets it waited for a connection for a second, or ended at its deadline.

Such a host now sends it to a peer in a region that the route allows, its own first, which makes one attempt at a target and passes the whole reply back: status, headers, body and proof. It counts as an attempt of the host that took it, so that a request that may not be repeated still runs at most once, and a peer that is cut off itself says that it has not run. A body over 512 KiB is not forwarded.

--- a/internal/core/relay/handoff.go
+++ b/internal/core/relay/handoff.go
@@ -51,6 +51,9 @@
 	// Age is the time since the request arrived, including the round trip to the peer and,
 	// unless Direct is set, the margins that the sender reserves.
 	Age time.Duration
+	// Whole states that Services holds the service of a request that is not gathered. The answer is
+	// the target's whole reply.
+	Whole bool
 	// Direct requests a single attempt at a target in the peer's region. The sender accounts
 	// for it in its own retry budget.
 	Direct bool
@@ -223,7 +226,7 @@
 // this limits the connections per target, and the links between hosts are already
 // established.
 func (e *Engine) forwarder(now clock.Instant, r *request, t *target) *peer {
-	if e.reach.cutOff && r.isGather() {
+	if e.reach.cutOff {
 		return e.relayPeer(now, r, t)
 	}
 	if !r.isGather() || t.distance != otherRegion {
@@ -244,7 +247,7 @@
 // forwardedGather returns the GatherSpec for a peer that forwards a single attempt.
 func (e *Engine) forwardedGather(now clock.Instant, r *request, sh *shard, p *peer) GatherSpec {
 	return GatherSpec{
-		Route: r.route.Name, Services: []string{sh.service.name}, TopK: r.route.TopK, MaxAttempts: 1,
+		Route: r.route.Name, Services: []string{sh.service.name}, Whole: !r.isGather(), TopK: r.route.TopK, MaxAttempts: 1,
 		Objective: r.route.LatencyObjective, Timeout: r.deadline - r.started, Regions: r.route.Regions,
 		Age: now.Mono - r.started + e.peerRTT(p), Direct: true,
 	}
--- a/internal/core/relay/reach.go
+++ b/internal/core/relay/reach.go
@@ -29,6 +29,9 @@
 	// maxCutOffBackoff bounds how long nothing is sent to a peer that is cut off, which begins with
 	// peerBackoff and doubles with each refusal.
 	maxCutOffBackoff = 4 * time.Second
+	// maxForwardedBody is the largest body that a peer is asked to forward. Messages to peers are
+	// bounded.
+	maxForwardedBody = 512 << 10
 )
 
 // reach is what a host knows of its own way to the targets.
@@ -159,20 +162,25 @@
 // mayRelay reports whether a peer may take requests on a route in place of this host, which is cut
 // off.
 func (e *Engine) mayRelay(now clock.Instant, r *request, p *peer) bool {
-	return now.Mono >= p.backoffUntil && !p.stalled(now.Mono) && r.route.AllowsRegion(p.Region) && r.isGather() && e.isHub(p.Host)
+	return now.Mono >= p.backoffUntil && !p.stalled(now.Mono) && r.route.AllowsRegion(p.Region) &&
+		len(r.Body) <= maxForwardedBody && (!r.isGather() || e.isHub(p.Host))
 }
 
 // relayPeer returns the peer through which this host, which is cut off, sends a request to a target,
-// or nil if there is none: one in the target's region, the nearest first and then the least loaded.
+// or nil if there is none: one in the target's region, or for a request to a single service any, the
+// nearest first and then the least loaded.
 func (e *Engine) relayPeer(now clock.Instant, r *request, t *target) *peer {
 	var best *peer
 	var bestRank rank
 	for i := range e.members {
 		p := e.peers[e.members[i].Host]
-		if p == nil || !e.mayRelay(now, r, p) || p.Region != t.region {
+		if p == nil || !e.mayRelay(now, r, p) || r.isGather() && p.Region != t.region {
 			continue
 		}
 		rk := rank{tier: int(p.distance), cost: p.load()}
+		if p.Region != t.region {
+			rk.tier += int(distanceCount)
+		}
 		if best == nil || rk.less(bestRank) {
 			best, bestRank = p, rk
 		}
@@ -182,7 +190,7 @@
 
 // isStuck reports whether no peer may take the request in place of this host, which is cut off.
 func (e *Engine) isStuck(now clock.Instant, r *request) bool {
-	if !e.reach.cutOff || !r.isGather() {
+	if !e.reach.cutOff {
 		return false
 	}
 	for _, p := range e.peers {
--- a/internal/core/relay/reach_test.go
+++ b/internal/core/relay/reach_test.go
@@ -19,7 +19,11 @@
 				c := newCluster(t, shards, 175, objective, 800, 800, 800)
 				submit := func(n int) (keys []uint64) {
 					for i := range n {
-						keys = append(keys, c.submit(fmt.Sprintf("h%d-%d", i%3, i/3%3), time.Duration(i)*between))
+						path := "/all/x"
+						if i%3 == 0 {
+							path = "/desk/x"
+						}
+						keys = append(keys, c.submitTo(fmt.Sprintf("h%d-%d", i%3, i/3%3), path, time.Duration(i)*between))
 					}
 					c.advance(time.Duration(n) * between)
 					return keys
@@ -76,7 +80,7 @@
 	const requests, between, atOnce = 20, 50 * time.Millisecond, 10 * time.Millisecond
 	keys := make([]uint64, 0, requests)
 	for i := range requests {
-		keys = append(keys, c.submit("h0-0", time.Duration(i)*between))
+		keys = append(keys, c.submitTo("h0-0", []string{"/all/x", "/desk/x"}[i%2], time.Duration(i)*between))
 	}
 	c.advance(timeout)
 	waited := 0
--- a/internal/core/relay/submit.go
+++ b/internal/core/relay/submit.go
@@ -104,6 +104,12 @@
 // route returns a route to the shards of a handoff. It has no minimum coverage, because the
 // host that handed the shards off decides whether the coverage suffices.
 func (g *GatherSpec) route() *catalog.Route {
+	if g.Whole {
+		return &catalog.Route{
+			Name: g.Route, Service: g.Services[0], MaxAttempts: g.MaxAttempts,
+			LatencyObjective: g.Objective, Timeout: g.Timeout, Regions: g.Regions,
+		}
+	}
 	return &catalog.Route{
 		Name: g.Route, Idempotent: true, ShardServices: g.Services, TopK: g.TopK, MaxAttempts: g.MaxAttempts,
 		LatencyObjective: g.Objective, Timeout: g.Timeout, Regions: g.Regions,
--- a/internal/core/relay/target.go
+++ b/internal/core/relay/target.go
@@ -209,7 +209,7 @@
 	if t.removed || t.draining() || e.view.EvacuatedZones[t.spec.Zone] || !r.route.AllowsRegion(t.region) {
 		return false
 	}
-	return !sh.excludes(t) && (!r.isDirect() || t.distance != otherRegion)
+	return !sh.excludes(t) && (!r.isDirect() || !r.isGather() || t.distance != otherRegion)
 }
 
 // chooseTarget returns the best target of the service that has capacity for the request, or
@@ -223,7 +223,7 @@
 		}
 		eligible = true
 		full := len(t.open) >= t.quota || !t.limit.allows(now.Mono) || now.Mono < t.pausedUntil
-		if (full || e.reach.cutOff && r.isGather()) && e.forwarder(now, r, t) == nil || !t.allowCold(now.Mono, s, false) {
+		if (full || e.reach.cutOff) && e.forwarder(now, r, t) == nil || !t.allowCold(now.Mono, s, false) {
 			continue
 		}
 		rk := e.rank(now.Mono, s, t, 0)
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -116,6 +116,8 @@
 	case answer.Code == result.TargetsUnreachable:
 		reply.Outcome, reply.Reason = relay.Unsent, "peer answered "+answer.Code.String()
 		reply.PeerFailed, reply.PeerCutOff = true, true
+	case answer.Code == result.OK && answer.Response != nil:
+		reply.Outcome, reply.Response = relay.Answered, answer.Response
 	case answer.Code == result.OK && len(answer.Parts) == 1:
 		reply.Outcome = relay.Answered
 		reply.Response = &relay.Response{Status: http.StatusOK, Proof: answer.Parts[0].Proof, Body: answer.Body}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -60,7 +60,7 @@
 	call := &GatherCall{
 		Handoff: uint64(h.ID), Id: r.ID, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body, TraceParent: r.TraceParent,
 		Route: g.Route, Services: g.Services, TopK: uint32(g.TopK), MaxAttempts: uint32(g.MaxAttempts),
-		Objective: int64(g.Objective), Timeout: int64(g.Timeout), Age: int64(g.Age), Regions: g.Regions, Direct: g.Direct, Repeat: g.Repeat, SenderRepeats: g.SenderRepeats,
+		Objective: int64(g.Objective), Timeout: int64(g.Timeout), Age: int64(g.Age), Regions: g.Regions, Direct: g.Direct, Whole: g.Whole, Repeat: g.Repeat, SenderRepeats: g.SenderRepeats,
 	}
 	for _, f := range r.Headers {
 		call.Headers = append(call.Headers, &HeaderField{Name: f.Name, Value: f.Value})
@@ -74,7 +74,7 @@
 	r := &relay.Request{
 		ID: x.GetId(), Method: x.GetMethod(), Host: x.GetHost(), Target: x.GetTarget(), Body: x.GetBody(), TraceParent: x.GetTraceParent(),
 		Gather: &relay.GatherSpec{
-			Route: x.GetRoute(), Services: x.GetServices(), TopK: int(x.GetTopK()), MaxAttempts: int(x.GetMaxAttempts()),
+			Route: x.GetRoute(), Services: x.GetServices(), TopK: int(x.GetTopK()), MaxAttempts: int(x.GetMaxAttempts()), Whole: x.GetWhole(),
 			Objective: time.Duration(x.GetObjective()), Timeout: time.Duration(x.GetTimeout()),
 			Age: time.Duration(x.GetAge()), Regions: x.GetRegions(), Direct: x.GetDirect(), Repeat: x.GetRepeat(), SenderRepeats: x.GetSenderRepeats(),
 		},
@@ -129,6 +129,13 @@
 // FromAnswer returns the protobuf message for the answer to a handoff.
 func FromAnswer(a *relay.Answer) *GatherReply {
 	out := &GatherReply{Code: int32(a.Code), Body: a.Body, Spent: int64(a.Elapsed)}
+	if a.Response != nil {
+		out.Status, out.Body = uint32(a.Response.Status), a.Response.Body
+		out.Parts = []*GatheredPart{{Proof: a.Response.Proof}}
+		for _, f := range a.Response.Headers {
+			out.Headers = append(out.Headers, &HeaderField{Name: f.Name, Value: f.Value})
+		}
+	}
 	for _, p := range a.Parts {
 		out.Parts = append(out.Parts, &GatheredPart{Shard: uint32(p.Shard), Proof: p.Proof})
 	}
@@ -138,6 +145,13 @@
 // ToAnswer returns the answer to the handoff as the core's type. Elapsed is not set; the
 // caller reads the time that the peer took from Spent.
 func (x *GatherReply) ToAnswer() *relay.Answer {
+	if x.GetStatus() > 0 && len(x.GetParts()) == 1 {
+		reply := &relay.Response{Status: int(x.GetStatus()), Body: x.GetBody(), Proof: x.GetParts()[0].GetProof()}
+		for _, f := range x.GetHeaders() {
+			reply.Headers = append(reply.Headers, relay.Header{Name: f.GetName(), Value: f.GetValue()})
+		}
+		return &relay.Answer{Code: result.Code(x.GetCode()), Response: reply}
+	}
 	a := &relay.Answer{Code: result.Code(x.GetCode()), Gathered: true, Body: x.GetBody()}
 	for _, p := range x.GetParts() {
 		a.Parts = append(a.Parts, relay.Part{Shard: int(p.GetShard()), Proof: p.GetProof()})
