--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -118,7 +118,7 @@
 		reply.PeerFailed, reply.PeerCutOff = true, true
 	case answer.Code == result.OK && answer.Response != nil:
 		reply.Outcome, reply.Response = relay.Answered, answer.Response
-	case answer.Code == result.OK && len(answer.Parts) == 1:
+	case answer.Code == result.OK && len(answer.Parts) == 1 && !s.Gather.Whole:
 		reply.Outcome = relay.Answered
 		reply.Response = &relay.Response{Status: http.StatusOK, Proof: answer.Parts[0].Proof, Body: answer.Body}
 	case answer.Code.Kind() == result.NotRun:
