A host with few requests learns that it is cut off

One silent target now suffices, since the checks decide: the host checks one target of the nearest availability zone, and those of the others only if that fails. A busy host with four silent targets checks all at once, as before. A request to one service that waits is polled for it, and an idle host wakes up.

--- a/internal/core/relay/dispatch.go
+++ b/internal/core/relay/dispatch.go
@@ -233,10 +233,13 @@
 	}
 	newest := sh.open[len(sh.open)-1]
 	if now.Mono >= newest.sent+newest.lateAfter {
-		e.observeSilence(now, newest, fx)
+		e.observeSilence(newest)
 	}
 	if !r.route.Idempotent || r.isDirect() || r.runsAlone() || !r.mayDispatch(sh) || r.hedges >= minHedges+len(r.shards)/hedgeDivisor {
-		return r.deadline, true
+		if r.isGather() {
+			return r.deadline, true
+		}
+		return min(r.deadline, max(now.Mono, newest.sent+newest.lateAfter)+minSilence), true
 	}
 	due = e.hedgeAt(now, r, sh, newest)
 	if e.reach.cutOff && newest.via == nil {
--- a/internal/core/relay/engine.go
+++ b/internal/core/relay/engine.go
@@ -133,7 +133,7 @@
 		handoffs: map[HandoffID]*handoff{}, partitions: map[partitionKey]*partition{},
 		probes:     map[string]*zoneProbes{},
 		crash:      newCrashWatch(),
-		reach:      newReach(),
+		reach:      newReach(cfg.Seed),
 		restricted: map[*target]bool{},
 		zones:      zoneLatency{own: cfg.Zone, minLatency: map[string]time.Duration{}, minRTT: map[string]time.Duration{}},
 		counters:   Counters{Outcomes: map[string]uint64{}},
@@ -176,9 +176,7 @@
 // Advance polls the requests whose timers are due, and tells peers what they should know.
 func (e *Engine) Advance(now clock.Instant, fx *Effects) {
 	e.tellPeers(now, fx)
-	if e.reach.cutOff {
-		e.probeReach(now, fx)
-	}
+	e.probeReach(now, fx)
 	for {
 		r, ok := e.timers.popDue(now.Mono)
 		if !ok {
@@ -196,8 +194,9 @@
 // timer is set.
 func (e *Engine) NextWake() (time.Duration, bool) {
 	due, ok := e.tellWake()
-	if e.reach.cutOff && len(e.reach.probes) == 0 && (!ok || e.reach.probeAt < due) {
-		due, ok = e.reach.probeAt, true
+	// Requests in progress are polled, which begins the checks too.
+	if probe, probes := e.probeDue(); probes && (e.reach.cutOff || len(e.requests) == 0) && (!ok || probe < due) {
+		due, ok = probe, true
 	}
 	if len(e.timers) > 0 && (!ok || e.timers[0].due < due) {
 		return e.timers[0].due, true
--- a/internal/core/relay/reach.go
+++ b/internal/core/relay/reach.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -10,22 +12,21 @@
 )
 
 // A host may be cut off from all targets while its callers, the store and the other hosts still reach
-// it. Each target then looks as if it had failed. Once several are silent and none has replied since,
-// the host checks targets of all availability zones. If it reaches none, it is cut off: it sends what
-// it is asked through peers, and refuses what peers hand to it.
+// it. Each target then looks as if it had failed. Once a target is silent and none has replied since,
+// the host checks others, in the end one of each availability zone. If it reaches none, it is cut off:
+// it sends what it is asked through peers, and refuses what peers hand to it.
 
 const (
-	// minSilentTargets is the number of silent targets from which on the host checks its own way to
-	// them. Where fewer are published, all must be silent, and at least minSilentOfFew.
-	minSilentTargets = 4
-	minSilentOfFew   = 2
-	// minSilence is the least time without a reply. Targets pause for a moment, each at its own
-	// time.
+	// minSilence is the time without a reply after which a host checks its own way to the targets, if
+	// one of them is silent. Targets pause for a moment, each at its own time.
 	minSilence = 100 * time.Millisecond
+	// minSilentTargets is the number of silent targets from which on the host checks targets of all
+	// availability zones at once. With fewer it checks one, and the others if that fails.
+	minSilentTargets = 4
 	// reachProbeInterval is the least time between two rounds of checks while a host is cut off, and
 	// suspicionInterval while it is not.
 	reachProbeInterval = 250 * time.Millisecond
-	suspicionInterval  = time.Second
+	suspicionInterval  = 500 * time.Millisecond
 	// maxCutOffBackoff bounds how long nothing is sent to a peer that is cut off, which begins with
 	// peerBackoff and doubles with each refusal.
 	maxCutOffBackoff = 4 * time.Second
@@ -45,17 +46,20 @@
 	// cutOff is set once no target could be reached, until one is. regainedAt is when that was.
 	cutOff     bool
 	regainedAt time.Duration
-	// probes holds the checks in progress. The next round of checks may begin at probeAt.
-	probes  map[CheckID]*target
-	probeAt time.Duration
+	// probes holds the checks in progress, probesLeft the targets to check if they fail. The next round
+	// of checks may begin at probeAt.
+	probes     map[CheckID]*target
+	probesLeft []*target
+	probeAt    time.Duration
+	rng        *rand.Rand
 }
 
-func newReach() reach {
-	return reach{silent: map[*target]bool{}, probes: map[CheckID]*target{}}
+func newReach(seed uint64) reach {
+	return reach{silent: map[*target]bool{}, probes: map[CheckID]*target{}, rng: rand.New(rand.NewPCG(seed, 3))}
 }
 
 // observeSilence notes that an attempt of this host to a target failed or is late.
-func (e *Engine) observeSilence(now clock.Instant, a *attempt, fx *Effects) {
+func (e *Engine) observeSilence(a *attempt) {
 	if a.via != nil || a.target.removed {
 		return
 	}
@@ -64,10 +68,6 @@
 		e.reach.since = since
 	}
 	e.reach.silent[a.target] = true
-	needed := max(minSilentOfFew, min(minSilentTargets, len(e.targets)))
-	if !e.reach.cutOff && len(e.reach.silent) >= needed && now.Mono-e.reach.since >= minSilence {
-		e.probeReach(now, fx)
-	}
 }
 
 // observeContact notes that this host has reached a target.
@@ -84,6 +84,7 @@
 	e.reach.contactAt = now.Mono
 	clear(e.reach.silent)
 	clear(e.reach.probes)
+	e.reach.probesLeft = nil
 }
 
 // excused reports whether the failure of an attempt says nothing about its target, since this host is
@@ -92,23 +93,43 @@
 	return a.via == nil && (e.reach.cutOff || a.sent < e.reach.regainedAt)
 }
 
+// probeDue returns when the next round of checks is due, false if none is.
+func (e *Engine) probeDue() (time.Duration, bool) {
+	switch {
+	case len(e.reach.probes) > 0:
+		return 0, false
+	case e.reach.cutOff:
+		return e.reach.probeAt, true
+	}
+	return max(e.reach.probeAt, e.reach.since+minSilence), len(e.reach.silent) > 0
+}
+
 // probeReach begins a round of checks if it is due.
 func (e *Engine) probeReach(now clock.Instant, fx *Effects) {
-	if now.Mono < e.reach.probeAt || len(e.reach.probes) > 0 {
+	if due, ok := e.probeDue(); !ok || now.Mono < due {
 		return
 	}
 	e.reach.probeAt = now.Mono + suspicionInterval
 	if e.reach.cutOff {
 		e.reach.probeAt = now.Mono + reachProbeInterval
 	}
-	for _, t := range e.probeTargets() {
+	targets := e.probeTargets()
+	if !e.reach.cutOff && len(e.reach.silent) < minSilentTargets && len(targets) > 1 {
+		targets, e.reach.probesLeft = targets[:1], targets[1:]
+	}
+	e.probe(targets, fx)
+}
+
+func (e *Engine) probe(targets []*target, fx *Effects) {
+	for _, t := range targets {
 		e.crash.lastCheckID++
 		e.reach.probes[e.crash.lastCheckID] = t
 		fx.Checks = append(fx.Checks, Check{ID: e.crash.lastCheckID, Target: t.spec})
 	}
 }
 
-// probeTargets returns one target of each availability zone, if possible one that has not failed.
+// probeTargets returns one target of each availability zone, if possible one that has not failed, the
+// nearest first.
 func (e *Engine) probeTargets() []*target {
 	sound, failed := map[string][]*target{}, map[string][]*target{}
 	for _, name := range sortedKeys(e.targets) {
@@ -126,9 +147,10 @@
 			list = failed[zone]
 		}
 		if len(list) > 0 {
-			chosen = append(chosen, list[e.rng.IntN(len(list))])
+			chosen = append(chosen, list[e.reach.rng.IntN(len(list))])
 		}
 	}
+	slices.SortStableFunc(chosen, func(a, b *target) int { return cmp.Compare(a.distance, b.distance) })
 	return chosen
 }
 
@@ -143,7 +165,11 @@
 	switch {
 	case ev.Reached:
 		e.observeContact(now, t, fx)
-	case len(e.reach.probes) == 0 && !e.reach.cutOff:
+	case len(e.reach.probes) > 0 || e.reach.cutOff:
+	case len(e.reach.probesLeft) > 0:
+		e.probe(e.reach.probesLeft, fx)
+		e.reach.probesLeft = nil
+	default:
 		e.cutOff(now, fx)
 	}
 }
--- a/internal/core/relay/reach_test.go
+++ b/internal/core/relay/reach_test.go
@@ -98,3 +98,30 @@
 		t.Errorf("%d of %d requests were not refused at once", waited, requests)
 	}
 }
+
+// TestHostWithFewRequestsNoticesThatItIsCutOff sends a host that gathers nothing a request to one
+// service now and then. Only the first one after the cut may fail: the host must not need several to
+// learn that the targets are not to blame.
+func TestHostWithFewRequestsNoticesThatItIsCutOff(t *testing.T) {
+	const objective, between, requests = 250 * time.Millisecond, 1500 * time.Millisecond, 6
+	for _, refused := range []bool{false, true} {
+		c := newCluster(t, 180, 30, objective, 800, 800, 192, 192, 192, 192, 192, 192, 192)
+		h := c.hosts["h0-8"]
+		if h.engine.isHub("h0-8") {
+			t.Fatal("the weakest host is a hub")
+		}
+		c.submitTo("h0-8", "/desk/x", 0)
+		c.advance(between)
+		h.cutOff, h.refused = true, refused
+		var keys []uint64
+		for i := range requests {
+			keys = append(keys, c.submitTo("h0-8", "/desk/x", time.Duration(i)*between))
+		}
+		c.advance(requests * between)
+		for i, key := range keys[1:] {
+			if a := c.answers[key]; a.Code != result.OK || c.elapsed[key] > objective {
+				t.Errorf("refused %v: request %d after the cut ended with %v after %v", refused, i+2, a.Code, c.elapsed[key])
+			}
+		}
+	}
+}
--- a/internal/core/relay/reply.go
+++ b/internal/core/relay/reply.go
@@ -97,7 +97,7 @@
 	case Answered, Declined, Misdirected:
 		e.observeContact(now, a.target, fx)
 	case Unreachable, Lost, TimedOut:
-		e.observeSilence(now, a, fx)
+		e.observeSilence(a)
 	}
 }
 
