Queries find the hubs that are left while most are cut off

Queries at sound hosts that are no hubs ended with 201 after 10 ms.

Cause: each refusal of a hub that was cut off counted as one of the four handoffs of a query, so that it gave up before it had found a sound one; and shards whose targets are only in a region without a sound hub were given to none. A refused handoff no longer counts (the peer is left alone for a second then, which bounds them), and what no hub near the targets takes goes to any other, which connects to them itself. A host that may not send a single shard itself hands that over too.

--- a/internal/core/relay/handoff.go
+++ b/internal/core/relay/handoff.go
@@ -120,9 +120,17 @@
 		remote = append(without(remote, covered), e.assignParts(now, r, covered, region, fx)...)
 	}
 	rest = append(rest, remote...)
-	for len(rest) >= minHandoffShards && r.handoffCount < maxHandoffs+r.parts {
+	least := minHandoffShards
+	if !e.gathersItself() {
+		least = 1
+	}
+	for len(rest) >= least && r.handoffCount < maxHandoffs+r.parts {
 		p, covered := e.choosePeer(now, r, rest)
-		if p == nil || len(covered) < minHandoffShards {
+		if (p == nil || len(covered) < least) && !e.gathersItself() {
+			// No hub near the targets takes them: any other one connects to them itself.
+			p, covered = e.anyHub(now, r), rest
+		}
+		if p == nil || len(covered) < least {
 			return
 		}
 		e.handOff(now, r, p, covered, 1, fx)
@@ -297,6 +305,22 @@
 	return a, covered
 }
 
+// anyHub returns the nearest hub that may take the request, the least loaded of several, or nil.
+func (e *Engine) anyHub(now clock.Instant, r *request) *peer {
+	var best *peer
+	var bestRank rank
+	for i := range e.members {
+		p := e.peers[e.members[i].Host]
+		if p == nil || !e.mayRelay(now, r, p) {
+			continue
+		}
+		if rk := (rank{tier: int(p.distance), cost: p.load()}); best == nil || rk.less(bestRank) {
+			best, bestRank = p, rk
+		}
+	}
+	return best
+}
+
 // shardsInRegion returns those of the given shards that have a target in the region.
 func (e *Engine) shardsInRegion(r *request, shards []int, region string) []int {
 	if !r.route.AllowsRegion(region) {
@@ -398,6 +422,9 @@
 			decision.String("request", r.ID), decision.String("route", r.route.Name), decision.String("peer", h.peer.Host),
 			decision.Int("shards", len(h.shards)), decision.String("reason", ev.Reason), decision.Millis("elapsed", now.Mono-h.sentAt)))
 	}
+	if unable {
+		r.handoffCount--
+	}
 	e.reclaimShards(r, h, unable || ev.Answer == nil && ev.NotSent)
 	if ev.Answer != nil && len(ev.Answer.Parts) > 0 {
 		e.recordAnswer(now, r, fx)
--- a/internal/core/relay/reach_test.go
+++ b/internal/core/relay/reach_test.go
@@ -125,3 +125,38 @@
 		}
 	}
 }
+
+// TestQueriesWhileMostHubsAreCutOff cuts all hubs of one region and most of the others off. Queries at
+// the hosts that are no hubs must find those that are left, however many refuse.
+func TestQueriesWhileMostHubsAreCutOff(t *testing.T) {
+	const objective, between, queries = 250 * time.Millisecond, 50 * time.Millisecond, 60
+	c := newCluster(t, 30, 40, objective, 800, 800, 800, 800, 192, 192, 192, 192, 192, 192, 192)
+	hubs := 0
+	for _, name := range sortedKeys(c.hosts) {
+		h := c.hosts[name]
+		if !h.engine.isHub(name) {
+			continue
+		}
+		hubs++
+		h.cutOff = h.member.Region == "r0" || hubs%3 != 0
+	}
+	submit := func(n int) (keys []uint64) {
+		for i := range n {
+			keys = append(keys, c.submit(fmt.Sprintf("h%d-%d", i%3, 4+i%7), time.Duration(i)*between))
+		}
+		c.advance(time.Duration(n) * between)
+		return keys
+	}
+	submit(queries)
+	keys := submit(queries)
+	c.advance(timeout)
+	failed := 0
+	for _, key := range keys {
+		if a := c.answers[key]; a.Code != result.OK {
+			failed++
+		}
+	}
+	if failed > queries/20 {
+		t.Errorf("%d of %d queries failed", failed, queries)
+	}
+}
