--- a/internal/core/relay/reach_test.go
+++ b/internal/core/relay/reach_test.go
@@ -170,3 +170,24 @@
 		t.Errorf("%d of %d queries failed", failed, queries)
 	}
 }
+
+// TestCutOffHostKeepsToAllowedRegions checks that a host that is cut off sends requests of a route to
+// no peer outside the regions that the route allows.
+func TestCutOffHostKeepsToAllowedRegions(t *testing.T) {
+	c := newCluster(t, 20, 175, 250*time.Millisecond, 800, 800)
+	e := c.hosts["h0-0"].engine
+	e.cutOff(c.now, &Effects{})
+	for _, route := range e.view.Config.Routes {
+		restricted := *route
+		restricted.Regions = []string{"r2"}
+		r := e.newRequest(c.now, &Request{ID: "1"}, &restricted)
+		for _, target := range e.targets {
+			if p := e.forwarder(c.now, r, target); p != nil && p.Region != "r2" {
+				t.Errorf("route %s: a request for %s goes to %s in region %s", route.Name, target.spec.Instance, p.Host, p.Region)
+			}
+		}
+		if p := e.anyHub(c.now, r); p == nil || p.Region != "r2" {
+			t.Errorf("route %s: shards go to %+v, want a hub in r2", route.Name, p)
+		}
+	}
+}
