--- a/cmd/pollentack/soak_test.go
+++ b/cmd/pollentack/soak_test.go
@@ -157,7 +157,7 @@
 	s.injectFaults(s.started.Add(soakPlannedPhase), []func() func(){s.terminateHost, s.killHost, s.targetFault, s.targetLinkFault, s.sendHUP})
 	planned.Wait()
 	s.injectFaults(time.Now().Add(soakFaultPhase), []func() func(){
-		s.terminateHost, s.killHost, s.pauseHost, s.targetFault, s.targetLinkFault, s.sendHUP, s.storeFault, s.storeLinkFault, s.changeSettings, s.publishConfig,
+		s.terminateHost, s.killHost, s.pauseHost, s.targetFault, s.targetLinkFault, s.sendHUP, s.storeFault, s.storeLinkFault, s.changeSettings, s.publishConfig, s.restoreStore,
 	})
 	cancel()
 	callers.Wait()
--- a/cmd/pollentack/soakfaults_test.go
+++ b/cmd/pollentack/soakfaults_test.go
@@ -128,6 +128,25 @@
 	}
 }
 
+// restoreStore has the store come back from an older copy. What the operator and the targets wrote
+// since is written again soon after.
+func (s *soak) restoreStore() func() {
+	age, missing := s.faultDuration(), s.faultDuration()
+	return func() {
+		copied := s.site.Store.Copy()
+		time.Sleep(age)
+		s.logAction("store restored from a copy of %v ago, written again after %v", age, missing)
+		s.site.Store.Restore(copied)
+		time.Sleep(missing)
+		for _, t := range s.site.Targets {
+			s.registerAgain(t)
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.site.PutConfig(s.version)
+	}
+}
+
 func (s *soak) sendHUP() func() {
 	host := s.randomHost()
 	return func() {
