Callers' connections and requests share a budget of memory

A burst of users with bodies within max_body_bytes on kept connections took the process over its limit; it was killed with the requests that it had passed on.

Cause: a connection of hertz keeps a buffer of its largest request, 256 KiB, for as long as it is open. Each body was held twice more, and nothing compared the sum with the limit of the process.

hertz now reads from connections of ours, which hold a block of 4 KiB while idle. Connections, what is read of requests and messages to peers reserve their bytes in one budget, half of memory_mb: a request without room gets 503 with Retry-After at once, which is true since nothing was passed on, a connection waits to be accepted. A body with a length is held once, from the socket to the targets; the head of an attempt is written before it instead of a copy.

--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -11,9 +11,9 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 
 	"pollentack.example/pollentack/internal/duty"
+	"pollentack.example/pollentack/internal/edge/memory"
 )
 
 // Options configure a server.
@@ -30,6 +30,11 @@
 	// IdleTimeout returns the current idle timeout of connections. It may change while a
 	// connection is idle. nil means defaultIdleTimeout.
 	IdleTimeout func() time.Duration
+	// Budget bounds the memory of the connections and of the requests on them; nil means no bound. A
+	// connection that finds no room waits to be accepted, and a request is answered with Overloaded,
+	// the bytes of a response, after which its connection is closed.
+	Budget     *memory.Budget
+	Overloaded []byte
 }
 
 // Server is an HTTP server with one listener.
@@ -64,11 +69,14 @@
 func Serve(socket net.Listener, options Options, register func(*server.Hertz)) (*Server, error) {
 	address := socket.Addr().String()
 	listener := newListener(socket, options.IdleTimeout)
+	listener.budget = options.Budget
 	silenceHertzLog()
 	hertzOptions := []config.Option{
 		server.WithListener(listener),
-		server.WithTransport(standard.NewTransporter),
+		server.WithTransport(newTransporter(options.Budget, options.Overloaded)),
+		server.WithOnAccept(withAccepted),
 		server.WithMaxRequestBodySize(options.MaxBodyBytes),
+		server.WithMaxKeepBodySize(BlockBytes),
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(defaultIdleTimeout),
 		server.WithExitWaitTime(CloseTimeout),
--- a/internal/edge/httpd/listener.go
+++ b/internal/edge/httpd/listener.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"pollentack.example/pollentack/internal/edge/memory"
 	"pollentack.example/pollentack/internal/edge/sockpeek"
 )
 
@@ -29,6 +30,8 @@
 	// idleTimeout returns how long a connection may wait for its next request. If it is nil,
 	// the read deadlines that hertz sets apply unchanged.
 	idleTimeout func() time.Duration
+	// budget bounds the memory of the connections; nil means no bound.
+	budget *memory.Budget
 
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
@@ -46,12 +49,14 @@
 // closing, a request that has arrived on it is still served. It fails only once the listener is
 // closed: hertz ends its loop on any error, and an accept also fails for want of descriptors.
 func (l *listener) Accept() (net.Conn, error) {
+	l.awaitRoom()
 	c, err := l.Listener.Accept()
 	for err != nil && !errors.Is(err, net.ErrClosed) {
 		time.Sleep(acceptRetryDelay)
 		c, err = l.Listener.Accept()
 	}
 	if err != nil {
+		l.release()
 		return nil, err //nolint:wrapcheck // hertz compares it
 	}
 	tracked := &conn{Conn: c, listener: l}
@@ -64,6 +69,29 @@
 	return tracked, nil
 }
 
+// awaitRoom waits until the budget has room for a connection, or the listener is closing. New
+// connections wait in the queue of the socket meanwhile.
+func (l *listener) awaitRoom() {
+	for l.budget != nil && !l.budget.Reserve(memory.Connections, connectionBytes) {
+		l.mu.Lock()
+		closing := l.closing
+		l.mu.Unlock()
+		if closing {
+			// What is accepted now is closed at once.
+			l.budget.Force(memory.Connections, connectionBytes)
+			return
+		}
+		time.Sleep(acceptRetryDelay)
+	}
+}
+
+// release returns what awaitRoom has reserved.
+func (l *listener) release() {
+	if l.budget != nil {
+		l.budget.Release(memory.Connections, connectionBytes)
+	}
+}
+
 // expired is a read deadline in the past.
 var expired = time.Unix(1, 0)
 
@@ -200,7 +228,11 @@
 		c.linger()
 	}
 	c.listener.mu.Lock()
+	_, open := c.listener.conns[c]
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
+	if open {
+		c.listener.release()
+	}
 	return c.Conn.Close()
 }
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -21,6 +22,7 @@
 	"pollentack.example/pollentack/internal/core/result"
 	"pollentack.example/pollentack/internal/edge/await"
 	"pollentack.example/pollentack/internal/edge/httpd"
+	"pollentack.example/pollentack/internal/edge/memory"
 	"pollentack.example/pollentack/internal/edge/sysclock"
 	"pollentack.example/pollentack/internal/edge/trace"
 )
@@ -46,6 +48,7 @@
 // Server is the HTTP server for callers of routed requests.
 type Server struct {
 	codec      Codec
+	budget     *memory.Budget
 	submit     func(relay.Event) bool
 	notify     func(relay.Event) bool
 	waiters    *await.Waiters[relay.Answer]
@@ -61,12 +64,12 @@
 // Start listens for callers on address. submit passes a new request to the relay and returns
 // false if the relay has no room; notify passes other events. waiters delivers the relay's
 // answers, and record logs the requests that are refused before they reach the relay.
-func Start(address string, codec Codec, waiters *await.Waiters[relay.Answer], submit, notify func(relay.Event) bool, record func(*decision.Record), tracer *trace.Tracer, clk sysclock.Clock) (*Server, error) {
-	s := &Server{codec: codec, submit: submit, notify: notify, waiters: waiters, record: record, tracer: tracer, clock: clk}
+func Start(address string, codec Codec, budget *memory.Budget, waiters *await.Waiters[relay.Answer], submit, notify func(relay.Event) bool, record func(*decision.Record), tracer *trace.Tracer, clk sysclock.Clock) (*Server, error) {
+	s := &Server{codec: codec, budget: budget, submit: submit, notify: notify, waiters: waiters, record: record, tracer: tracer, clock: clk}
 	s.limits.Store(&catalog.Limits{})
 	options := httpd.Options{
 		MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes,
-		DetectDisconnect: true, OmitDefaults: true, IdleTimeout: s.idleTimeout,
+		DetectDisconnect: true, OmitDefaults: true, IdleTimeout: s.idleTimeout, Budget: budget, Overloaded: s.overloaded(),
 	}
 	httpServer, err := httpd.Start(address, options, func(h *server.Hertz) { h.Use(s.serve) })
 	if err != nil {
@@ -136,6 +139,10 @@
 	if err != nil {
 		return s.refuse("", result.BadRequest, err.Error())
 	}
+	if !s.ownBody(request, c.Request.Header.ContentLength()) {
+		return s.refuse(request.ID, result.QueueFull, "no memory is left for the body")
+	}
+	defer s.releaseBody(request, c.Request.Header.ContentLength())
 	request.ArrivedAt = arrivedAt
 	span := s.tracer.Start(c.Request.Header.Get(trace.TraceParentHeader), "request", attribute.String("request", request.ID))
 	request.TraceParent = span.TraceParent()
@@ -144,6 +151,46 @@
 	return answer
 }
 
+// ownBody has the request own its body, and reports whether there is memory for it. The server's
+// buffers are used again once the request has been answered, while an attempt may still send the body;
+// only a long one that came with its length is left alone.
+func (s *Server) ownBody(request *relay.Request, contentLength int) bool {
+	if contentLength > httpd.BlockBytes {
+		return true
+	}
+	if contentLength < 0 && !s.budget.Reserve(memory.Requests, bodyCopies*len(request.Body)) {
+		return false
+	}
+	request.Body = bytes.Clone(request.Body)
+	return true
+}
+
+// releaseBody returns what ownBody has reserved.
+func (s *Server) releaseBody(request *relay.Request, contentLength int) {
+	if contentLength < 0 {
+		s.budget.Release(memory.Requests, bodyCopies*len(request.Body))
+	}
+}
+
+// bodyCopies is the number of copies of a body without a length beside the bytes received: that of
+// hertz and the request's own.
+const bodyCopies = 2
+
+// overloaded returns the bytes of the response to a request that there is no memory for.
+func (s *Server) overloaded() []byte {
+	var response protocol.Response
+	s.codec.EncodeAnswer(&relay.Answer{Code: result.QueueFull, RetryAfter: queueFullRetryAfter}, &response)
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n", response.StatusCode(), http.StatusText(response.StatusCode()))
+	response.Header.VisitAll(func(name, value []byte) {
+		switch string(name) {
+		case "Connection", "Content-Length", "Content-Type", "Server", "Date":
+		default:
+			head += fmt.Sprintf("%s: %s\r\n", name, value)
+		}
+	})
+	return []byte(head + "\r\n")
+}
+
 // submitAndWait submits a request to the relay and waits for its answer.
 func (s *Server) submitAndWait(ctx context.Context, request *relay.Request) relay.Answer {
 	submit := func(key uint64) bool {
--- a/internal/edge/upstream/bounds.go
+++ b/internal/edge/upstream/bounds.go
@@ -108,6 +108,13 @@
 	return b.evicted
 }
 
+// ReplyBytes returns the bytes that the bodies of all replies in progress occupy.
+func (c *Client) ReplyBytes() int {
+	c.memory.mu.Lock()
+	defer c.memory.mu.Unlock()
+	return c.memory.used
+}
+
 func (m *replyMemory) remove(b *replyBody) {
 	if _, ok := m.bodies[b]; ok {
 		delete(m.bodies, b)
--- a/internal/edge/upstream/conn.go
+++ b/internal/edge/upstream/conn.go
@@ -90,7 +90,21 @@
 	return err
 }
 
-// send writes a request until the deadline, or until the target begins to reply. A target may
+// maxJoinedBody is the longest body that is copied behind its head, to be written with it.
+const maxJoinedBody = 16 << 10
+
+// sendRequest is send for a head and a body.
+func (c *conn) sendRequest(head, body []byte, deadline time.Time) (complete bool, err error) {
+	if len(body) <= maxJoinedBody {
+		return c.send(append(head, body...), deadline)
+	}
+	if complete, err = c.send(head, deadline); err != nil || !complete {
+		return complete, err
+	}
+	return c.send(body, deadline)
+}
+
+// send writes bytes of a request until the deadline, or until the target begins to reply. A target may
 // reply before it has read the whole request and may never read the rest; complete is false
 // if only part of the request was written.
 func (c *conn) send(request []byte, deadline time.Time) (complete bool, err error) {
--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -38,7 +38,7 @@
 
 // Codec converts between the HTTP messages of targets and the relay's types.
 type Codec interface {
-	// AppendRequest appends an encoded request to buf. The request contains the remaining
+	// AppendRequest appends an encoded request without its body to buf. The request contains the remaining
 	// time, and the trace context of the attempt unless traceParent is empty.
 	AppendRequest(buf []byte, s *relay.Send, remaining time.Duration, traceParent string) []byte
 	// Correlate reports which request the reply belongs to.
@@ -253,7 +253,7 @@
 	if err := conn.SetReadDeadline(deadline); err != nil {
 		return noResponse(relay.Lost, err.Error()), false
 	}
-	complete, err := conn.send(c.codec.AppendRequest(nil, s, remaining, traceParent), deadline)
+	complete, err := conn.sendRequest(c.codec.AppendRequest(nil, s, remaining, traceParent), s.Request.Body, deadline)
 	if err != nil {
 		return exchangeFailure("write", err), false
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"pollentack.example/pollentack/internal/edge/await"
 	"pollentack.example/pollentack/internal/edge/httpd"
 	"pollentack.example/pollentack/internal/edge/ingress"
+	"pollentack.example/pollentack/internal/edge/memory"
 	"pollentack.example/pollentack/internal/edge/sysclock"
 	"pollentack.example/pollentack/internal/edge/trace"
 	"pollentack.example/pollentack/internal/edge/upstream"
@@ -66,11 +67,13 @@
 	roster    *rosterDuty
 	waiters   *await.Waiters[relay.Answer]
 	client    *upstream.Client
-	ingress   *ingress.Server
-	ready     *httpd.Server
-	metrics   *admin.Server
-	latency   *latencies
-	draining  atomic.Bool
+	// budget bounds the memory of callers' connections and requests and of messages to peers.
+	budget   *memory.Budget
+	ingress  *ingress.Server
+	ready    *httpd.Server
+	metrics  *admin.Server
+	latency  *latencies
+	draining atomic.Bool
 	// grace is the current Settings.Grace in nanoseconds.
 	grace    atomic.Int64
 	stopOnce sync.Once
@@ -81,7 +84,7 @@
 func Start(s *Settings, o Options) (*Gateway, error) {
 	g := &Gateway{
 		settings: s, log: o.Log, clock: sysclock.New(), latency: newLatencies(), waiters: await.New[relay.Answer](),
-		failed: make(chan error, maxDuties),
+		failed: make(chan error, maxDuties), budget: memory.NewBudget(s.requestBytes()),
 	}
 	if err := g.start(&o); err != nil {
 		return nil, fmt.Errorf("start gateway %q: %w", s.Host, err)
@@ -122,7 +125,7 @@
 	g.fleet.onRoster = g.roster.put
 	// If the ring is full, the measurement is dropped. The next exchange measures again.
 	g.fleet.onRoundTrip = func(zone string, took time.Duration) { g.relay.put(&relay.RTTMeasured{Zone: zone, RTT: took}) }
-	g.upstream.handoffs = newHandoffs(g.clock, g.fleet.mesh, g.relay, g.waiters, g.log, o.Tracer)
+	g.upstream.handoffs = newHandoffs(g.clock, g.fleet.mesh, g.relay, g.waiters, g.budget, g.log, o.Tracer)
 	if g.discovery, err = newDiscoveryDuty(g.settings, o.Store, g.clock, seed, g.log); err != nil {
 		return err
 	}
@@ -131,7 +134,7 @@
 	g.fleet.mesh.Handle(wire.CallKind_CALL_KIND_CATALOG, g.discovery.catalog.serve)
 	g.discovery.onView = g.applyView
 	g.discovery.record = g.logDecision
-	if g.ingress, err = ingress.Start(g.settings.Listen.Front, o.Codec, g.waiters, g.relay.submit, g.relay.put, g.logDecision, o.Tracer, g.clock); err != nil {
+	if g.ingress, err = ingress.Start(g.settings.Listen.Front, o.Codec, g.budget, g.waiters, g.relay.submit, g.relay.put, g.logDecision, o.Tracer, g.clock); err != nil {
 		return err
 	}
 	g.relay.deliver = g.deliverAnswer
@@ -221,6 +224,7 @@
 // reload does not interrupt connections.
 func (g *Gateway) Reload(s *Settings) {
 	g.grace.Store(int64(s.Grace))
+	g.budget.SetLimit(s.requestBytes())
 	g.fleet.put(&fleet.Seeds{Addresses: s.Seeds})
 	if !g.relay.put(&relay.RetryPolicyChanged{Policy: s.Retry}) {
 		g.log.Error().Str("event", "reload_dropped").Str("reason", "relay ring is full").Send()
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"pollentack.example/pollentack/internal/core/relay"
 	"pollentack.example/pollentack/internal/core/result"
 	"pollentack.example/pollentack/internal/edge/await"
+	"pollentack.example/pollentack/internal/edge/memory"
 	"pollentack.example/pollentack/internal/edge/mesh"
 	"pollentack.example/pollentack/internal/edge/sysclock"
 	"pollentack.example/pollentack/internal/edge/trace"
@@ -27,6 +29,7 @@
 type handoffs struct {
 	clock   sysclock.Clock
 	mesh    *mesh.Mesh
+	budget  *memory.Budget
 	submit  func(relay.Event) bool
 	put     func(relay.Event) bool
 	waiters *await.Waiters[relay.Answer]
@@ -49,9 +52,9 @@
 	id   uint64
 }
 
-func newHandoffs(clk sysclock.Clock, m *mesh.Mesh, r *relayDuty, waiters *await.Waiters[relay.Answer], log zerolog.Logger, tracer *trace.Tracer) *handoffs {
+func newHandoffs(clk sysclock.Clock, m *mesh.Mesh, r *relayDuty, waiters *await.Waiters[relay.Answer], budget *memory.Budget, log zerolog.Logger, tracer *trace.Tracer) *handoffs {
 	h := &handoffs{
-		clock: clk, mesh: m, submit: r.submit, put: r.put, waiters: waiters, log: log, tracer: tracer, inbound: map[inboundKey]chan struct{}{},
+		clock: clk, mesh: m, budget: budget, submit: r.submit, put: r.put, waiters: waiters, log: log, tracer: tracer, inbound: map[inboundKey]chan struct{}{},
 		process: uint64(clk.Now().Wall), transits: relay.NewTransits(),
 	}
 	m.Handle(wire.CallKind_CALL_KIND_GATHER, h.serve)
@@ -83,6 +86,12 @@
 	message := wire.FromHandoff(x)
 	message.TraceParent = span.TraceParent()
 	message.SentAt, message.Process = int64(h.clock.Now().Mono), h.process
+	size := proto.Size(message)
+	if !h.budget.Reserve(memory.Messages, size) {
+		span.End()
+		return nil, fmt.Errorf("%w: no memory is left for a message of %d bytes to %q", mesh.ErrNotSent, size, x.Peer)
+	}
+	defer h.budget.Release(memory.Messages, size)
 	payload, err := h.mesh.Call(x.Peer, wire.CallKind_CALL_KIND_GATHER, marshal(message), max(0, remaining))
 	out := &wire.GatherReply{}
 	if err == nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"pollentack.example/pollentack/internal/core/decision"
 	"pollentack.example/pollentack/internal/core/relay"
+	"pollentack.example/pollentack/internal/edge/memory"
 	"pollentack.example/pollentack/internal/ring"
 )
 
@@ -61,6 +62,12 @@
 	return LatencySummary{Count: h.TotalCount(), P50: at(50), P90: at(90), P99: at(99), Max: float64(h.Max()) / 1000}
 }
 
+// ReplyMemory is what the bodies of targets' replies in progress may occupy and do, in bytes.
+type ReplyMemory struct {
+	Limit int `json:"limit"`
+	Used  int `json:"used"`
+}
+
 // Status is the state of a gateway that operators can read.
 type Status struct {
 	Host           string         `json:"host"`
@@ -75,6 +82,8 @@
 	RequestLatency LatencySummary `json:"request_latency"`
 	AttemptLatency LatencySummary `json:"attempt_latency"`
 	Connections    uint64         `json:"connections_made"`
+	Memory         memory.Usage   `json:"memory"`
+	ReplyMemory    ReplyMemory    `json:"reply_memory"`
 	StoreCalls     uint64         `json:"store_calls"`
 	StoreFailures  uint64         `json:"store_failures"`
 	Rings          []ring.Stats   `json:"rings"`
@@ -89,6 +98,8 @@
 		RequestLatency: g.latency.summary(g.latency.requests),
 		AttemptLatency: g.latency.summary(g.latency.attempts),
 		Connections:    g.client.Dials(),
+		Memory:         g.budget.Usage(),
+		ReplyMemory:    ReplyMemory{Limit: g.settings.replyBytes(), Used: g.client.ReplyBytes()},
 		StoreCalls:     g.discovery.store.Calls(), StoreFailures: g.discovery.store.FailedCalls(),
 		Rings: []ring.Stats{g.relay.inbox.Stats(), g.upstream.inbox.Stats(), g.discovery.inbox.Stats()},
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -80,8 +80,22 @@
 	replyMemoryDivisor = 8
 	// defaultReplyBytes is that part if there is no memory limit.
 	defaultReplyBytes = 32 << 20
+	// requestMemoryDivisor gives the part for callers' connections and requests and for messages to
+	// peers. The rest is what the process needs without any, and garbage.
+	requestMemoryDivisor = 2
+	// defaultRequestBytes is that part if there is no memory limit.
+	defaultRequestBytes = 512 << 20
 )
 
+// requestBytes returns the number of bytes that callers' connections and requests and messages to
+// peers may occupy together.
+func (s *Settings) requestBytes() int64 {
+	if s.MemoryBytes <= 0 {
+		return defaultRequestBytes
+	}
+	return s.MemoryBytes / requestMemoryDivisor
+}
+
 // replyBytes returns the number of bytes that the bodies of all replies in progress may occupy
 // together.
 func (s *Settings) replyBytes() int {
