Handoffs that were given up never leave, and name the time left when they do

Hosts of a zone that is back got queries that other hosts had given up seconds before, and handed targets the time that was left then.

Cause: a message to a peer was complete when it was queued, and waited for its link with that age; the relay's cancel was a second message, which the peer could not match. The request of a call is now made once there is a stream for it, with the time that it has waited added to its age and none if its time is over. A call can be cancelled from the moment it is decided on: it leaves the wait for a link, or for the response, at once, and only what may have been sent is cancelled at the peer too.

--- a/internal/edge/mesh/call.go
+++ b/internal/edge/mesh/call.go
@@ -32,18 +32,28 @@
 // Call sends a request to a host and returns the payload of the response, waiting at most
 // timeout. Every error wraps ErrNotSent or ErrOutcomeUnknown.
 func (m *Mesh) Call(host string, kind wire.CallKind, payload []byte, timeout time.Duration) ([]byte, error) {
+	return m.CallPending(host, kind, fixedCall(payload), timeout)
+}
+
+// fixedCall returns a call with a given request.
+func fixedCall(payload []byte) *PendingCall {
+	return NewPendingCall(func() ([]byte, error) { return payload, nil })
+}
+
+// CallPending is Call for a PendingCall.
+func (m *Mesh) CallPending(host string, kind wire.CallKind, c *PendingCall, timeout time.Duration) ([]byte, error) {
 	deadline := time.Now().Add(timeout)
 	m.counters.callsMade.Add(1)
-	l, err := m.linkOnDemand(host, deadline)
+	l, err := m.linkOnDemand(host, deadline, c.done)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return m.callOn(l, deadline, kind, payload)
+	return m.callOn(l, deadline, kind, c)
 }
 
 // Link makes a link to a host, unless there is one.
 func (m *Mesh) Link(host string, timeout time.Duration) error {
-	_, err := m.linkOnDemand(host, time.Now().Add(timeout))
+	_, err := m.linkOnDemand(host, time.Now().Add(timeout), nil)
 	return err
 }
 
@@ -51,14 +61,14 @@
 func (m *Mesh) CallAddress(address string, kind wire.CallKind, payload []byte, timeout time.Duration) ([]byte, error) {
 	deadline := time.Now().Add(timeout)
 	m.counters.callsMade.Add(1)
-	l, err := m.dialWithin(release.Host{MeshAddress: address}, deadline, func() {})
+	l, err := m.dialWithin(release.Host{MeshAddress: address}, deadline, nil, func() {})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return m.callOn(l, deadline, kind, payload)
+	return m.callOn(l, deadline, kind, fixedCall(payload))
 }
 
-func (m *Mesh) callOn(l *link, deadline time.Time, kind wire.CallKind, payload []byte) ([]byte, error) {
+func (m *Mesh) callOn(l *link, deadline time.Time, kind wire.CallKind, c *PendingCall) ([]byte, error) {
 	defer l.countCall()()
 	stream, err := l.streams.take()
 	if err != nil {
@@ -68,8 +78,14 @@
 	if err := stream.SetDeadline(deadline); err != nil {
 		return nil, errors.Join(fmt.Errorf("%w: set deadline: %w", ErrNotSent, err), stream.Close())
 	}
+	payload, err := c.begin(stream)
+	if err != nil {
+		l.streams.put(stream)
+		return nil, err
+	}
 	start := time.Now()
 	reply, err := m.roundTrip(stream, &wire.Request{Kind: kind, Payload: payload})
+	c.end()
 	if err == nil {
 		l.streams.put(stream)
 	} else {
@@ -109,21 +125,21 @@
 }
 
 // linkOnDemand returns the link to a known host and dials it if there is none. It waits
-// for a dial already in progress. After a failed dial it waits for crossedDialWait and uses
+// for a dial already in progress, until the deadline or until cancelled is closed. After a failed dial it waits for crossedDialWait and uses
 // the link that the peer may have dialed at the same time.
-func (m *Mesh) linkOnDemand(name string, deadline time.Time) (*link, error) {
+func (m *Mesh) linkOnDemand(name string, deadline time.Time, cancelled <-chan struct{}) (*link, error) {
 	for {
 		host, dialing, l, err := m.claimDial(name)
 		switch {
 		case err != nil || l != nil:
 			return l, err
 		case dialing != nil:
-			if !waitFor(dialing, deadline) {
-				return nil, fmt.Errorf("wait for the dial to host %q: %w", name, os.ErrDeadlineExceeded)
+			if err := waitFor(dialing, deadline, cancelled); err != nil {
+				return nil, fmt.Errorf("wait for the dial to host %q: %w", name, err)
 			}
 			continue
 		}
-		if l, err = m.dialWithin(host, deadline, func() { m.finishDial(name) }); err == nil {
+		if l, err = m.dialWithin(host, deadline, cancelled, func() { m.finishDial(name) }); err == nil {
 			return l, nil
 		}
 		time.Sleep(min(crossedDialWait, max(0, time.Until(deadline))))
@@ -153,20 +169,22 @@
 	return host, nil, nil, nil
 }
 
-func waitFor(done <-chan struct{}, deadline time.Time) bool {
+func waitFor(done <-chan struct{}, deadline time.Time, cancelled <-chan struct{}) error {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
 	case <-done:
-		return true
+		return nil
+	case <-cancelled:
+		return errCancelled
 	case <-timer.C:
-		return false
+		return os.ErrDeadlineExceeded
 	}
 }
 
 // dialWithin makes a link to a host, on a worker that calls ended once the dial is over. A dial that
-// takes longer than the deadline goes on, for later calls.
-func (m *Mesh) dialWithin(host release.Host, deadline time.Time, ended func()) (*link, error) {
+// takes longer than the deadline, or whose caller has cancelled, goes on for later calls.
+func (m *Mesh) dialWithin(host release.Host, deadline time.Time, cancelled <-chan struct{}, ended func()) (*link, error) {
 	type outcome struct {
 		link *link
 		err  error
@@ -189,6 +207,8 @@
 	select {
 	case o := <-done:
 		return o.link, o.err
+	case <-cancelled:
+		return nil, fmt.Errorf("dial host %q at %s: %w", host.Name, host.MeshAddress, errCancelled)
 	case <-timer.C:
 		return nil, fmt.Errorf("dial host %q at %s: %w", host.Name, host.MeshAddress, os.ErrDeadlineExceeded)
 	}
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -40,12 +40,25 @@
 	process uint64
 
 	mu sync.Mutex
+	// outbound holds the handoffs and forwarded attempts to peers in progress, from the time when
+	// they were decided on.
+	outbound map[relay.HandoffID]*outboundHandoff
 	// transits measures how long the calls of peers were on their way.
 	transits *relay.Transits
 	// inbound holds the handoffs from peers in progress. Closing the channel cancels a handoff.
 	inbound map[inboundKey]chan struct{}
 }
 
+// outboundHandoff is a handoff or a forwarded attempt on its way to a peer.
+type outboundHandoff struct {
+	call      *mesh.PendingCall
+	decidedAt time.Duration
+	// message is complete but for the times that its way to the link takes.
+	message *wire.GatherCall
+	// reserved are the bytes that the message takes from the budget.
+	reserved int
+}
+
 // inboundKey identifies a handoff from a peer.
 type inboundKey struct {
 	peer string
@@ -54,7 +67,7 @@
 
 func newHandoffs(clk sysclock.Clock, m *mesh.Mesh, r *relayDuty, waiters *await.Waiters[relay.Answer], budget *memory.Budget, log zerolog.Logger, tracer *trace.Tracer) *handoffs {
 	h := &handoffs{
-		clock: clk, mesh: m, budget: budget, submit: r.submit, put: r.put, waiters: waiters, log: log, tracer: tracer, inbound: map[inboundKey]chan struct{}{},
+		clock: clk, mesh: m, budget: budget, submit: r.submit, put: r.put, waiters: waiters, log: log, tracer: tracer, inbound: map[inboundKey]chan struct{}{}, outbound: map[relay.HandoffID]*outboundHandoff{},
 		process: uint64(clk.Now().Wall), transits: relay.NewTransits(),
 	}
 	m.Handle(wire.CallKind_CALL_KIND_GATHER, h.serve)
@@ -79,20 +92,55 @@
 	h.put(ended)
 }
 
+// registerOutbound makes a handoff known that is about to be queued, so that it can be cancelled from then on.
+func (h *handoffs) registerOutbound(id relay.HandoffID) {
+	o := &outboundHandoff{decidedAt: h.clock.Now().Mono}
+	o.call = mesh.NewPendingCall(func() ([]byte, error) { return h.encode(o) })
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.outbound[id] = o
+}
+
+func (h *handoffs) unregisterOutbound(id relay.HandoffID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.outbound, id)
+}
+
+func (h *handoffs) outboundOf(id relay.HandoffID) *outboundHandoff {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.outbound[id]
+}
+
+// encode returns the message of a handoff that is sent now: the time that it has waited is not left any
+// more.
+func (h *handoffs) encode(o *outboundHandoff) ([]byte, error) {
+	now := h.clock.Now().Mono
+	m := o.message
+	m.Age += int64(now - o.decidedAt)
+	if left := time.Duration(m.GetTimeout() - m.GetAge()); left <= 0 {
+		return nil, fmt.Errorf("the request's time was over %v ago", -left)
+	}
+	m.SentAt, m.Process = int64(now), h.process
+	size := proto.Size(m)
+	if !h.budget.Reserve(memory.Messages, size) {
+		return nil, fmt.Errorf("no memory is left for a message of %d bytes", size)
+	}
+	o.reserved = size
+	return marshal(m), nil
+}
+
 // call sends a gather call to a peer and waits for the reply.
 func (h *handoffs) call(x *relay.Handoff, remaining time.Duration) (*wire.GatherReply, error) {
 	span := h.tracer.Start(x.Request.TraceParent, "handoff",
 		attribute.String("peer", x.Peer), attribute.Int("shards", len(x.Gather.Services)))
-	message := wire.FromHandoff(x)
-	message.TraceParent = span.TraceParent()
-	message.SentAt, message.Process = int64(h.clock.Now().Mono), h.process
-	size := proto.Size(message)
-	if !h.budget.Reserve(memory.Messages, size) {
-		span.End()
-		return nil, fmt.Errorf("%w: no memory is left for a message of %d bytes to %q", mesh.ErrNotSent, size, x.Peer)
-	}
-	defer h.budget.Release(memory.Messages, size)
-	payload, err := h.mesh.Call(x.Peer, wire.CallKind_CALL_KIND_GATHER, marshal(message), max(0, remaining))
+	o := h.outboundOf(x.ID)
+	defer h.unregisterOutbound(x.ID)
+	o.message = wire.FromHandoff(x)
+	o.message.TraceParent = span.TraceParent()
+	payload, err := h.mesh.CallPending(x.Peer, wire.CallKind_CALL_KIND_GATHER, o.call, max(0, remaining))
+	h.budget.Release(memory.Messages, o.reserved)
 	out := &wire.GatherReply{}
 	if err == nil {
 		err = proto.Unmarshal(payload, out)
@@ -138,9 +186,12 @@
 	return reply
 }
 
-// cancel cancels a handoff at a peer. If the message fails, the peer only does work whose result
-// is not used.
+// cancel cancels a handoff, at the peer too if it may have got there. If that message fails, the peer
+// only does work whose result is not used.
 func (h *handoffs) cancel(x relay.HandoffCancel) {
+	if o := h.outboundOf(x.ID); o != nil && !o.call.Cancel() {
+		return
+	}
 	_, _ = h.mesh.Call(x.Peer, wire.CallKind_CALL_KIND_GATHER_CANCEL, marshal(&wire.GatherCancel{Handoff: uint64(x.ID)}), cancelTimeout)
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -208,18 +208,35 @@
 // reapInterval is how often expired idle connections are closed.
 const reapInterval = 500 * time.Millisecond
 
-// put queues a job. An attempt that this host sends itself can be cancelled from then on.
+// put queues a job. An attempt or a handoff can be cancelled from then on.
 func (u *upstreamDuty) put(j job) bool {
-	if j.send != nil && j.send.Via == "" {
+	switch {
+	case j.handoff != nil:
+		u.handoffs.registerOutbound(j.handoff.ID)
+	case j.send != nil && j.send.Via != "":
+		u.handoffs.registerOutbound(forwardedID(j.send.Attempt))
+	case j.send != nil:
 		u.client.Register(j.send.Attempt)
 	}
 	queued := u.inbox.Put(j)
-	if !queued && j.send != nil {
-		u.client.Unregister(j.send.Attempt)
+	if !queued {
+		u.unregister(j)
 	}
 	return queued
 }
 
+// unregister undoes what put has registered, for a job that is not carried out.
+func (u *upstreamDuty) unregister(j job) {
+	switch {
+	case j.handoff != nil:
+		u.handoffs.unregisterOutbound(j.handoff.ID)
+	case j.send != nil && j.send.Via != "":
+		u.handoffs.unregisterOutbound(forwardedID(j.send.Attempt))
+	case j.send != nil:
+		u.client.Unregister(j.send.Attempt)
+	}
+}
+
 func (u *upstreamDuty) duty() duty.Duty {
 	return duty.Duty{Name: "upstream", Run: u.run, Stop: u.inbox.Close}
 }
@@ -249,6 +266,7 @@
 	switch {
 	case j.handoff != nil:
 		if err := u.workers.Submit(func() { u.handoffs.send(j.handoff) }); err != nil {
+			u.unregister(j)
 			u.report(&relay.HandoffEnded{ID: j.handoff.ID, NotSent: true, Reason: err.Error()})
 		}
 	case j.link != "":
@@ -286,7 +304,7 @@
 		u.observeLatency(time.Since(begin))
 	})
 	if err != nil {
-		u.client.Unregister(s.Attempt)
+		u.unregister(job{send: s})
 		u.report(&relay.AttemptEnded{Attempt: s.Attempt, Outcome: relay.Unsent, Reason: err.Error()})
 	}
 }
