A watch whose replies cannot be used gives way to a list

For 20 s after a storm of large configurations no host learnt anything: callers got 404 on a confirmed route.

Cause: the reply to the watch was larger than a host reads. The call counted as failed, like one to a store that is away, and the same watch was repeated, whose reply only grew.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -147,6 +147,8 @@
 	// targetKeys holds the keys of the items of all targets by name.
 	targetKeys    map[string]string
 	storeFailures int
+	// unusableWatches counts the watches of the store in a row whose replies could not be used.
+	unusableWatches int
 	// storeCoalesceDelay is the delay before the next watch of the store after changes.
 	storeCoalesceDelay time.Duration
 	// nextCallAt is when the next call is due. It has no meaning while a call is in
@@ -313,6 +315,7 @@
 	}
 	f.storeFailures++
 	f.peerStale = false
+	f.giveUpWatch(now, ev, fx)
 	f.completeWithoutStore()
 	delay := minBackoff << min(f.storeFailures-1, 8)
 	delay = min(delay, maxBackoff)
@@ -323,6 +326,24 @@
 	f.unavailableUntil[storeSource] = now.Mono + delay
 }
 
+// maxUnusableWatches is the number of watches in a row whose replies cannot be used, after which the
+// store is listed instead: the reply to the same watch only grows.
+const maxUnusableWatches = 2
+
+// giveUpWatch begins a list if the store's replies to the watch cannot be used.
+func (f *Follower) giveUpWatch(now clock.Instant, ev *CallFailed, fx *Effects) {
+	if !ev.Unusable || f.phase != watching {
+		return
+	}
+	f.unusableWatches++
+	if f.unusableWatches < maxUnusableWatches {
+		return
+	}
+	f.unusableWatches = 0
+	fx.Records = append(fx.Records, decision.Warning("store_watch_given_up", decision.String("reason", ev.Reason), decision.Uint("revision", f.view.Revision)))
+	f.beginList(now)
+}
+
 func (f *Follower) handleSuccess(fx *Effects) {
 	f.callInProgress = false
 	if f.current != storeSource {
@@ -332,7 +353,7 @@
 		fx.Records = append(fx.Records, decision.New("store_regained",
 			decision.Int("failed_calls", f.storeFailures), decision.Uint("revision", f.view.Revision)))
 	}
-	f.storeFailures = 0
+	f.storeFailures, f.unusableWatches = 0, 0
 	f.peerLost, f.peerStale = false, false
 }
 
--- a/internal/core/discovery/discovery_test.go
+++ b/internal/core/discovery/discovery_test.go
@@ -512,3 +512,32 @@
 		t.Errorf("view %+v, want the one of the peer while the store is unavailable", v)
 	}
 }
+
+// TestUnusableWatchIsReplacedByList guards against a host that learns nothing while the reply to its watch
+// is too large to read, or holds what cannot be read: it would ask for the same reply for ever.
+func TestUnusableWatchIsReplacedByList(t *testing.T) {
+	h := newListedHarness(t)
+	for range maxUnusableWatches - 1 {
+		h.step(&CallFailed{Reason: "too large", Unusable: true})
+		h.advance(maxBackoff + maxBackoff/2)
+		if c := h.fx.Call; c == nil || !c.Watch {
+			t.Fatalf("after one unusable reply the call is %+v, want the watch", h.fx.Call)
+		}
+	}
+	h.step(&CallFailed{Reason: "too large", Unusable: true})
+	h.advance(maxBackoff + maxBackoff/2)
+	if c := h.fx.Call; c == nil || c.Watch {
+		t.Fatalf("after %d unusable replies the call is %+v, want a list", maxUnusableWatches, h.fx.Call)
+	}
+	h.step(&Page{Items: []Item{configItem(40, 9), targetItem(5, "a")}, Revision: 50})
+	if v := h.f.View(); v.Config.Version != 9 || h.fx.Call == nil || h.fx.Call.AfterRevision != 50 {
+		t.Errorf("version %d is in force and the call is %+v, want 9 and a watch from 50", v.Config.Version, h.fx.Call)
+	}
+	for range 3 * maxUnusableWatches {
+		h.step(&CallFailed{Reason: "reset"})
+		h.advance(maxBackoff + maxBackoff/2)
+		if c := h.fx.Call; c != nil && !c.Watch {
+			t.Fatal("failed calls without a reply begin a list")
+		}
+	}
+}
--- a/internal/core/discovery/event.go
+++ b/internal/core/discovery/event.go
@@ -88,7 +88,11 @@
 }
 
 // CallFailed reports that a call failed.
-type CallFailed struct{ Reason string }
+type CallFailed struct {
+	Reason string
+	// Unusable states that the store answered, with a reply that cannot be used.
+	Unusable bool
+}
 
 func (*Start) event()       {}
 func (*Page) event()        {}
