Hosts that know no others take a part of the retry slack

Six hosts whose seeds were down each took the whole retry slack: 191 to 204 extra arrivals in 10 s of 138 allowed.

Cause: a host divided the slack by the number of hosts that it knew, itself alone. It now shares it with as many as it has ever known, at least the number that a starting host assumes, for as long as it knows no other.

--- a/internal/core/relay/budget_test.go
+++ b/internal/core/relay/budget_test.go
@@ -44,3 +44,26 @@
 		t.Errorf("%d extra attempts for %d requests over %d starts, want at most %.1f", extra, first, starts, bound)
 	}
 }
+
+// TestHostsThatKnowNoOthersShareRetrySlack guards against hosts whose seeds are down, or that are cut off
+// from all others, and that each take the whole retry slack: together they exceed it.
+func TestHostsThatKnowNoOthersShareRetrySlack(t *testing.T) {
+	const hosts, service = 6, "one"
+	list := members(hosts - 1)
+	for _, known := range []bool{false, true} {
+		sum := 0.0
+		for i := range list {
+			cfg := testConfig()
+			cfg.Host, cfg.Zone, cfg.Region, cfg.Retry.Window = list[i].Host, list[i].Zone, list[i].Region, 10*time.Second
+			sim := newSimulationOf(t, cfg, 1)
+			if known {
+				sim.step(&MembersChanged{Members: list})
+			}
+			sim.step(&MembersChanged{Members: list[i : i+1]})
+			sum += sim.engine.retrySlack(service)
+		}
+		if slack := testConfig().Retry.Slack; sum > slack {
+			t.Errorf("hosts that knew others before %v: shares add up to %v of %v", known, sum, slack)
+		}
+	}
+}
--- a/internal/core/relay/engine.go
+++ b/internal/core/relay/engine.go
@@ -73,7 +73,9 @@
 	// members that gather, gatheredServices the services that they gather from.
 	hosts   int
 	members []fleet.Member
-	hubs    map[string]bool
+	// mostHosts is the largest number of members so far.
+	mostHosts int
+	hubs      map[string]bool
 	// slackFrom is when this host begins to use its share of the retry slack, 0 before the first
 	// view.
 	slackFrom time.Duration
--- a/internal/core/relay/peer.go
+++ b/internal/core/relay/peer.go
@@ -106,6 +106,7 @@
 		fx.Records = append(fx.Records, decision.New("hosts_counted", decision.Int("before", e.hosts), decision.Int("hosts", len(members))))
 	}
 	e.hosts = max(1, len(members))
+	e.mostHosts = max(e.mostHosts, e.hosts)
 	e.updateShares(now)
 }
 
@@ -215,7 +216,12 @@
 // retrySlack returns this host's share of a service's retry slack. The shares of all hosts
 // add up to at most the whole slack.
 func (e *Engine) retrySlack(service string) float64 {
-	slack, others := allocatedSlackShare*e.cfg.Retry.Slack, e.hosts-len(e.hubs)
+	slack := allocatedSlackShare * e.cfg.Retry.Slack
+	if len(e.members) <= 1 {
+		// This host may be alone because it has not found the others, or does not reach them.
+		return slack / float64(max(1, e.mostHosts, e.cfg.InitialHosts))
+	}
+	others := e.hosts - len(e.hubs)
 	if owner, divided := e.owned[service]; divided {
 		if owner {
 			return slack * ownerSlackShare / float64(len(e.regions()))
