Crashes at other hosts go before a host's own good memory of a request

A request that was answered lately and then crashes each target that runs it reached targets 30 times, 22 of them late: each host had to see it crash three for itself.

Cause: a host that saw a request answered in the last minutes ignored what its peers told, and neither counted nor told its own first two crashes. They now count and are told from the first; such a host tolerates two, whoever saw them, and none once others have convicted the request. An answer refutes all, as before. One crash of a busy target would look like several: its identity is now the target, its start and the time in turns of 2 s, the same at all hosts.

TestAnsweredRequestIsTolerated held the fault for the rule: it asked that four crashes told by others, two of them alone, count for nothing. It is replaced by the same test for two crashes, and by TestCrashesElsewhereGoBeforeOwnMemory, which asks for the opposite from three on and fails on the code before.

--- a/internal/core/quarantine/suspects.go
+++ b/internal/core/quarantine/suspects.go
@@ -20,14 +20,14 @@
 	// with no more than these.
 	CrashesToConvict      = 3
 	crashesAloneToConvict = CrashesToConvict - CrashesToSuspect
-	// cleanTolerance is the number of crashes since the last answer after which a fingerprint
-	// that was answered lately may be suspect again.
+	// cleanTolerance is the number of crashes since the last answer, as all hosts saw them, from
+	// which on a fingerprint that this host saw answered lately is suspect again.
 	cleanTolerance = 3
 	// maxCrashes bounds the crashes that are kept of a fingerprint, and those that do not count.
 	maxCrashes = 16
 )
 
-// CrashID identifies one crash that one host saw.
+// CrashID identifies one crash of a target, whichever hosts see it.
 type CrashID uint64
 
 // CrashFact is what hosts tell each other about a fingerprint. Facts only grow, so that they can be
@@ -65,9 +65,9 @@
 type Suspects struct {
 	cfg     SuspectsConfig
 	entries map[Fingerprint]*suspect
-	// clean holds the fingerprints that were answered lately, with the crashes since. Those in
-	// previous are older than those in clean, and are forgotten at the next rotation.
-	clean, previous map[Fingerprint]int
+	// clean holds the fingerprints that were answered lately. Those in previous are older than those
+	// in clean, and are forgotten at the next rotation.
+	clean, previous map[Fingerprint]bool
 	rotatedAt       time.Duration
 }
 
@@ -80,7 +80,7 @@
 
 // NewSuspects returns an empty Suspects.
 func NewSuspects(cfg SuspectsConfig) *Suspects {
-	return &Suspects{cfg: cfg, entries: map[Fingerprint]*suspect{}, clean: map[Fingerprint]int{}, previous: map[Fingerprint]int{}}
+	return &Suspects{cfg: cfg, entries: map[Fingerprint]*suspect{}, clean: map[Fingerprint]bool{}, previous: map[Fingerprint]bool{}}
 }
 
 // Len returns the number of fingerprints.
@@ -91,11 +91,11 @@
 	return len(e.alone) >= crashesAloneToConvict && len(e.crashes) >= CrashesToConvict
 }
 
-// Crashes returns the number of crashes that count against the fingerprint: none if this host saw
-// it answered lately.
+// Crashes returns the number of crashes that count against the fingerprint: none if there are few and
+// this host saw it answered lately.
 func (s *Suspects) Crashes(now time.Duration, f Fingerprint) int {
 	e := s.lookup(now, f)
-	if e == nil || s.isClean(now, f) {
+	if e == nil || len(e.crashes) < cleanTolerance && s.isClean(now, f) {
 		return 0
 	}
 	return len(e.crashes)
@@ -104,7 +104,7 @@
 // Convicted reports whether requests with the fingerprint must not run, and for how much longer.
 func (s *Suspects) Convicted(now time.Duration, f Fingerprint) (remaining time.Duration, convicted bool) {
 	e := s.lookup(now, f)
-	if e == nil || !e.convicted() || s.isClean(now, f) {
+	if e == nil || !e.convicted() {
 		return 0, false
 	}
 	return s.expiry(e) - now, true
@@ -113,11 +113,7 @@
 // isClean reports whether this host saw the fingerprint answered lately.
 func (s *Suspects) isClean(now time.Duration, f Fingerprint) bool {
 	s.rotateClean(now)
-	if _, ok := s.clean[f]; ok {
-		return true
-	}
-	_, ok := s.previous[f]
-	return ok
+	return s.clean[f] || s.previous[f]
 }
 
 // rotateClean forgets the older of the fingerprints that were answered, if it is time.
@@ -125,32 +121,13 @@
 	if len(s.clean) < s.cfg.MaxClean && now-s.rotatedAt < s.cfg.CleanFor {
 		return
 	}
-	s.clean, s.previous = map[Fingerprint]int{}, s.clean
+	s.clean, s.previous = map[Fingerprint]bool{}, s.clean
 	s.rotatedAt = now
 }
 
-// countCleanCrash counts a crash against a fingerprint that was answered lately, and reports whether
-// it is to be ignored.
-func (s *Suspects) countCleanCrash(now time.Duration, f Fingerprint) (ignored bool) {
-	if !s.isClean(now, f) {
-		return false
-	}
-	n := max(s.clean[f], s.previous[f]) + 1
-	if n < cleanTolerance {
-		s.clean[f] = n
-		return true
-	}
-	delete(s.clean, f)
-	delete(s.previous, f)
-	return false
-}
-
 // RecordCrash records that a target crashed while it ran a request with the fingerprint. alone
 // states that the request was suspect and ran nowhere else. It reports whether this is news.
 func (s *Suspects) RecordCrash(now time.Duration, f Fingerprint, crash CrashID, alone bool) bool {
-	if s.countCleanCrash(now, f) {
-		return false
-	}
 	e := s.lookupOrCreate(now, f)
 	news := addCrash(&e.crashes, crash)
 	if alone {
@@ -166,7 +143,7 @@
 // have another cause. It reports whether this is news to other hosts.
 func (s *Suspects) RecordAnswer(now time.Duration, f Fingerprint) bool {
 	s.rotateClean(now)
-	s.clean[f] = 0
+	s.clean[f] = true
 	e := s.lookup(now, f)
 	if e == nil || len(e.crashes) == 0 {
 		return false
--- a/internal/core/quarantine/suspects_test.go
+++ b/internal/core/quarantine/suspects_test.go
@@ -54,23 +54,46 @@
 }
 
 // TestAnsweredRequestIsTolerated has targets crash under a request that this host saw answered shortly
-// before, as a popular one does that runs beside others. It must not become suspect here, whatever
-// other hosts say, unless it crashes targets again and again without an answer.
+// before, as a popular one does that runs beside others. It must not become suspect here for a few
+// crashes, and the next answer must refute them.
 func TestAnsweredRequestIsTolerated(t *testing.T) {
 	s := NewSuspects(suspectsConfig)
 	s.RecordAnswer(0, 7)
-	s.Merge(0, &CrashFact{Fingerprint: 7, Crashes: []CrashID{1, 2, 3, 4}, Alone: []CrashID{3, 4}})
+	s.RecordCrash(0, 7, 1, true)
+	s.Merge(0, &CrashFact{Fingerprint: 7, Crashes: []CrashID{1, 2}, Alone: []CrashID{2}})
 	if _, convicted := s.Convicted(0, 7); convicted || s.Crashes(0, 7) != 0 {
 		t.Errorf("convicted: %v, %d crashes count", convicted, s.Crashes(0, 7))
 	}
-	if fact, _ := s.Fact(0, 7); !s.RecordAnswer(time.Second, 7) || len(fact.Crashes) != 4 {
+	if fact, _ := s.Fact(0, 7); !s.RecordAnswer(time.Second, 7) || len(fact.Crashes) != 2 {
 		t.Error("an answer does not refute what others said")
 	}
-	for id := CrashID(10); id < 10+cleanTolerance; id++ {
-		s.RecordCrash(2*time.Second, 7, id, true)
+	s.RecordCrash(2*time.Second, 7, 10, true)
+	if s.Crashes(2*time.Second, 7) != 0 {
+		t.Error("a single crash counts after an answer")
 	}
-	if s.Crashes(2*time.Second, 7) != 1 {
-		t.Errorf("%d crashes count after %d without an answer, want 1", s.Crashes(2*time.Second, 7), cleanTolerance)
+}
+
+// TestCrashesElsewhereGoBeforeOwnMemory has a request that this host saw answered lately crash targets at
+// other hosts, as after a release. It must count here what they say: otherwise each host has to see the
+// crashes for itself.
+func TestCrashesElsewhereGoBeforeOwnMemory(t *testing.T) {
+	s, peer := NewSuspects(suspectsConfig), NewSuspects(suspectsConfig)
+	s.RecordAnswer(0, 7)
+	peer.RecordAnswer(0, 7)
+	for id := CrashID(1); id <= cleanTolerance; id++ {
+		if !peer.RecordCrash(time.Second, 7, id, id > CrashesToSuspect) {
+			t.Errorf("crash %d is not told", id)
+		}
+	}
+	fact, _ := peer.Fact(time.Second, 7)
+	if !s.Merge(time.Second, &fact) || s.Crashes(time.Second, 7) != cleanTolerance {
+		t.Errorf("%d crashes of others count, want %d", s.Crashes(time.Second, 7), cleanTolerance)
+	}
+	if _, convicted := s.Convicted(time.Second, 7); !convicted {
+		t.Error("a conviction elsewhere does not hold here")
+	}
+	if !s.RecordAnswer(2*time.Second, 7) || s.Crashes(2*time.Second, 7) != 0 {
+		t.Error("an answer does not clear the request")
 	}
 }
 
--- a/internal/core/relay/crash.go
+++ b/internal/core/relay/crash.go
@@ -204,7 +204,7 @@
 		c.target.backOff(now.Mono, e.rng.Float64())
 		e.presumeCold(now, c.target)
 		if !r.answered {
-			e.recordCrash(now, ev.ID, c, fx)
+			e.recordCrash(now, c, fx)
 		}
 	}
 	if !r.ended {
@@ -213,10 +213,10 @@
 }
 
 // recordCrash records the crash of a target under a request that no target has answered.
-func (e *Engine) recordCrash(now clock.Instant, id CheckID, c *check, fx *Effects) {
+func (e *Engine) recordCrash(now clock.Instant, c *check, fx *Effects) {
 	r, f := c.request, c.request.fingerprint
 	e.counters.Crashes++
-	news := e.crash.suspects.RecordCrash(now.Mono, f, e.crashID(id), c.alone)
+	news := e.crash.suspects.RecordCrash(now.Mono, f, crashID(now, c.target.spec), c.alone)
 	_, convicted := e.crash.suspects.Convicted(now.Mono, f)
 	fx.Records = append(fx.Records, decision.Warning("target_crashed",
 		decision.String("request", r.ID), decision.String("fingerprint", f.String()), decision.String("route", r.route.Name),
@@ -227,11 +227,14 @@
 	}
 }
 
-// crashID returns the identity of the crash that a check found. The seed differs between the starts
-// of a host.
-func (e *Engine) crashID(id CheckID) quarantine.CrashID {
-	b := binary.BigEndian.AppendUint64([]byte(e.cfg.Host), e.cfg.Seed)
-	return quarantine.CrashID(xxhash.Sum64(binary.BigEndian.AppendUint64(b, uint64(id))))
+// crashTurn is the time in which the crashes of a target that are seen count as one. All requests that
+// it ran lose their connections at once, at several hosts, and it is back after some seconds.
+const crashTurn = 2 * time.Second
+
+// crashID returns the identity of a target's crash, the same at all hosts that see it.
+func crashID(now clock.Instant, t *catalog.Target) quarantine.CrashID {
+	b := binary.BigEndian.AppendUint64([]byte(t.Instance), uint64(t.StartTime))
+	return quarantine.CrashID(xxhash.Sum64(binary.BigEndian.AppendUint64(b, uint64(now.Wall/crashTurn))))
 }
 
 // recordAnswer records that a target has answered the request.
