The hold after a restore lasts until the new era is known

A host that was told of a restore and then lost the store for longer than the hold ended it with no item of the new era: it withdrew evacuations, and took the copy's entries once the store was back. After a second restore, the entry that a copy had brought back stood for what was known of a target that had left before the first.

The hold now lasts while the items of the new era are not known, and counts from when they are; of a target that has left, the newest description is kept.

Evidence: TestHoldOutlivesStoreThatFailsAgain fails on the code before.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -269,7 +269,7 @@
 // NextWake returns when Advance must next be called, or false if no time is set.
 func (f *Follower) NextWake() (time.Duration, bool) {
 	next, ok := f.nextCallAt, !f.callInProgress && f.phase != idle
-	if until := f.former.until; until > 0 && (!ok || until < next) {
+	if until := f.former.until; until > 0 && !f.rebuilding && (!ok || until < next) {
 		next, ok = until, true
 	}
 	for _, due := range f.removals {
--- a/internal/core/discovery/era.go
+++ b/internal/core/discovery/era.go
@@ -60,9 +60,10 @@
 	fx.Records = append(fx.Records, decision.Warning("store_restored",
 		decision.Uint("era", era), decision.Uint("era_before", f.view.Era), decision.Uint("revision", revision),
 		decision.Uint("revision_before", f.view.Revision), decision.String("source", f.current)))
-	f.former.until = now.Mono + holdReports*f.cfg.ReportInterval
+	f.holdOn(now)
 	for key := range f.items {
-		if it := f.items[key]; it.Deleted && it.Target != nil {
+		it := f.items[key]
+		if known := f.former.gone[it.Name]; it.Deleted && it.Target != nil && (known == nil || it.Target.NewerThan(known)) {
 			f.former.gone[it.Name] = it.Target
 		}
 	}
@@ -87,6 +88,7 @@
 			f.scheduleRemoval(now, name, f.view.Revision)
 		}
 	}
+	f.holdOn(now)
 	f.rebuilding = false
 	f.servedEra = f.view.Era
 	for key := range f.items {
@@ -95,8 +97,13 @@
 	f.updateZones(fx)
 }
 
+// holdOn has this host distrust the store's data for the time in which it is written again.
+func (f *Follower) holdOn(now clock.Instant) {
+	f.former.until = now.Mono + holdReports*f.cfg.ReportInterval
+}
+
 // holds reports whether this host distrusts the store's data.
-func (f *Follower) holds(now time.Duration) bool { return now < f.former.until }
+func (f *Follower) holds(now time.Duration) bool { return f.rebuilding || now < f.former.until }
 
 // distrusts reports whether an entry may be that of the copy, because it is not newer than what this
 // host knows of the target. A target that is in use stays as it is known, and one that is gone stays
--- a/internal/core/discovery/era_test.go
+++ b/internal/core/discovery/era_test.go
@@ -135,7 +135,7 @@
 			h.advance(removalDelay)
 		}
 		h.restore(7, configItem(3, 7), report(5, "a", 3), report(6, "b", 4))
-		h.advance(hold - coalesceDelay - 10*time.Millisecond)
+		h.advance(hold - 10*time.Millisecond)
 		if h.f.View().Targets["a"] != nil || h.f.View().Targets["b"] == nil {
 			t.Errorf("pending %v: targets %v within the hold, want b only", pending, h.f.View().Targets)
 		}
@@ -240,3 +240,33 @@
 		t.Errorf("version %d is in force at the end, want 10", v.Version)
 	}
 }
+
+// TestHoldOutlivesStoreThatFailsAgain has the store fail between the word of its restore and the list,
+// for longer than the hold, and come back a second time: what was known before must still be held.
+func TestHoldOutlivesStoreThatFailsAgain(t *testing.T) {
+	h := newEraHarness(t, report(5, "a", 4), zoneItem(9, "z0"))
+	h.step(&Changes{Items: []Item{{Key: "t/a", Kind: TargetItem, Name: "a", Revision: 11, Deleted: true}}, Revision: 11, Era: 1})
+	h.advance(removalDelay)
+	h.step(&HistoryGone{Era: 2})
+	for begin := h.now.Mono; h.now.Mono-begin < 2*holdReports*defaultReportInterval; {
+		h.advance(maxBackoff)
+		if h.f.callInProgress {
+			h.step(&CallFailed{Reason: "down"})
+		}
+		if len(h.f.View().EvacuatedZones) != 1 {
+			t.Fatal("an evacuation is withdrawn while nothing of the new era is known")
+		}
+	}
+	h.advance(2 * maxBackoff)
+	h.step(&Page{Items: []Item{configItem(3, 7), report(5, "a", 2)}, Revision: 6, Era: 2})
+	if v := h.f.View(); v.Targets["a"] != nil || !v.EvacuatedZones["z0"] {
+		t.Errorf("after the list targets are %v and evacuated %v, want neither a target nor an end of the evacuation", v.Targets, v.EvacuatedZones)
+	}
+	h.step(&Changes{Items: []Item{{Key: "t/a", Kind: TargetItem, Name: "a", Revision: 7, Deleted: true}}, Revision: 7, Era: 2})
+	h.step(&HistoryGone{Era: 3})
+	h.advance(2 * maxBackoff)
+	h.step(&Page{Items: []Item{configItem(3, 7), report(5, "a", 3)}, Revision: 6, Era: 3})
+	if h.f.View().Targets["a"] != nil {
+		t.Error("a second restore brings a target back that had left before the first")
+	}
+}
