A check that was not made says nothing of the way to targets

A check that finds no worker, on a host with too many exchanges, was reported like one that failed; a round of such checks would have made the host count as cut off. It now ends the round without a result.

--- a/internal/core/relay/choosepeer.go
+++ b/internal/core/relay/choosepeer.go
@@ -1,13 +1,11 @@
 package relay
 
-import (
-	"pollentack.example/pollentack/internal/core/clock"
-)
+import "pollentack.example/pollentack/internal/core/clock"
 
 // forwarder returns the peer that forwards an attempt to a target in another region, or to any target
-// while this host is cut off, and nil if this host sends the attempt itself. Only hosts in the target's region connect to it:
-// this limits the connections per target, and the links between hosts are already
-// established.
+// while this host is cut off, and nil if this host sends the attempt itself. Only hosts in the
+// target's region connect to it: this limits the connections per target, and the links between
+// hosts are already established.
 func (e *Engine) forwarder(now clock.Instant, r *request, t *target) *peer {
 	if e.reach.cutOff {
 		return e.relayPeer(now, r, t)
--- a/internal/core/relay/crash.go
+++ b/internal/core/relay/crash.go
@@ -51,6 +51,8 @@
 	Refused bool
 	// Reached states that the target accepted the connection.
 	Reached bool
+	// NotMade states that the check was not made.
+	NotMade bool
 }
 
 func (*TargetChecked) event() {}
--- a/internal/core/relay/reach.go
+++ b/internal/core/relay/reach.go
@@ -163,6 +163,9 @@
 	}
 	delete(e.reach.probes, ev.ID)
 	switch {
+	case ev.NotMade: // the round shows nothing
+		clear(e.reach.probes)
+		e.reach.probesLeft = nil
 	case ev.Reached:
 		e.observeContact(now, t, fx)
 	case len(e.reach.probes) > 0 || e.reach.cutOff:
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -148,7 +148,7 @@
 	for i := range fx.Checks {
 		x := fx.Checks[i]
 		if !r.dispatch(job{check: &x}) {
-			r.undispatched = append(r.undispatched, &relay.TargetChecked{ID: x.ID})
+			r.undispatched = append(r.undispatched, &relay.TargetChecked{ID: x.ID, NotMade: true})
 		}
 	}
 	for i := range fx.Tells {
@@ -278,7 +278,7 @@
 			u.report(&relay.TargetChecked{ID: j.check.ID, Refused: refused, Reached: reached})
 		})
 		if err != nil {
-			u.report(&relay.TargetChecked{ID: j.check.ID})
+			u.report(&relay.TargetChecked{ID: j.check.ID, NotMade: true})
 		}
 	case j.tell != nil:
 		// If all workers are busy, the message is lost as one on the network may be.
