No memory is taken for a request after its end

While a request is handled, hertz receives on its connection to sense its end. Bytes of a next request would have been counted to this one, and without room left the refusal would have been written before this one's answer. What is received after a request's end is not counted to it. Connections that are not sensed are handed to hertz as they were. Found by reading, no test of its own.

--- a/internal/edge/httpd/buffered.go
+++ b/internal/edge/httpd/buffered.go
@@ -54,6 +54,8 @@
 	// received counts the bytes since the last Release, reserved those taken from the budget. grown
 	// counts the buffers larger than a block: a body with a length needs one.
 	received, reserved, grown int
+	// requestRead states that the request has been read, so that what else is received is not its.
+	requestRead bool
 	// readErr is an error that came with the last bytes received.
 	readErr error
 
@@ -146,7 +148,7 @@
 // reserve takes n bytes for the request from the budget. If they are not left, the caller is told so
 // and the connection ends.
 func (c *bufferedConn) reserve(n int) error {
-	if c.budget == nil || n <= c.reserved {
+	if c.budget == nil || c.requestRead || n <= c.reserved {
 		return nil
 	}
 	n = (n - c.reserved + reserveStep - 1) / reserveStep * reserveStep
@@ -212,7 +214,7 @@
 		}
 		c.block, c.in, c.r, c.w = nil, nil, 0, 0
 	}
-	c.received, c.grown = c.Len(), 0
+	c.received, c.grown, c.requestRead = c.Len(), 0, false
 	c.releaseBudget()
 	return nil
 }
@@ -293,11 +295,32 @@
 	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
 }
 
+// statefulConn is a connection on which hertz senses whether the caller closes it.
+type statefulConn interface {
+	network.Conn
+	DetectConnectionClose()
+	AbortBlockingRead()
+}
+
+// sensingConn is a statefulConn that marks the end of a request: sensing begins once it has been read.
+type sensingConn struct {
+	statefulConn
+	buffered *bufferedConn
+}
+
+// DetectConnectionClose begins to receive on another thread.
+func (c *sensingConn) DetectConnectionClose() {
+	c.buffered.requestRead = true
+	c.statefulConn.DetectConnectionClose()
+}
+
 // transporter is the standard transport of hertz with bufferedConn in place of its connections.
 type transporter struct {
 	network.Transporter
 	budget     *memory.Budget
 	overloaded []byte
+	// senses states that the context of a connection ends when its caller closes it.
+	senses bool
 }
 
 // acceptedKey is the key of the accepted connection in the context of its transport.
@@ -309,7 +332,7 @@
 
 func newTransporter(budget *memory.Budget, overloaded []byte) func(*config.Options) network.Transporter {
 	return func(o *config.Options) network.Transporter {
-		return &transporter{Transporter: standard.NewTransporter(o), budget: budget, overloaded: overloaded}
+		return &transporter{Transporter: standard.NewTransporter(o), budget: budget, overloaded: overloaded, senses: o.SenseClientDisconnection}
 	}
 }
 
@@ -328,15 +351,19 @@
 		if !ok {
 			return errors.New("connection was not accepted by the listener")
 		}
-		ctx, cancel := context.WithCancel(ctx)
-		defer cancel()
 		c := &bufferedConn{Conn: accepted, budget: t.budget, overloaded: t.overloaded}
 		defer c.releaseBudget()
-		return onData(ctx, standard.NewStatefulConn(c, func(err error) {
+		if !t.senses {
+			return onData(ctx, c)
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		stateful := standard.NewStatefulConn(c, func(err error) {
 			var netErr net.Error
 			if !errors.As(err, &netErr) || !netErr.Timeout() {
 				cancel()
 			}
-		}))
+		})
+		return onData(ctx, &sensingConn{statefulConn: stateful, buffered: c})
 	})
 }
