--- a/cmd/pollentack/gateway.go
+++ b/cmd/pollentack/gateway.go
@@ -12,6 +12,7 @@
 
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/logs"
+	"pollentack.example/pollentack/internal/edge/mesh"
 	"pollentack.example/pollentack/internal/edge/trace"
 	"pollentack.example/pollentack/internal/gateway"
 	"pollentack.example/pollentack/internal/settings"
@@ -26,6 +27,9 @@
 	LogLines  int    `help:"Lines of one event that are logged in ten seconds." default:"500"`
 }
 
+// dialPeers replaces the function that dials peers unless it is nil.
+var dialPeers mesh.DialFunc
+
 // logQueueLines is the number of log lines buffered for standard output; further lines are
 // dropped.
 const logQueueLines = 4096
@@ -74,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	g, err := gateway.Start(s, gateway.Options{Log: log, Tracer: tracer, Codec: platform.Codec{}, Store: platform.NewStore(s.Store), DecodeItem: platform.DecodeItem})
+	g, err := gateway.Start(s, gateway.Options{Log: log, Tracer: tracer, Codec: platform.Codec{}, Store: platform.NewStore(s.Store), DecodeItem: platform.DecodeItem, Dial: dialPeers})
 	if err != nil {
 		log.Error().Str("event", "start_failed").Err(err).Send()
 		return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"pollentack.example/pollentack/internal/edge/httpd"
 	"pollentack.example/pollentack/internal/edge/ingress"
 	"pollentack.example/pollentack/internal/edge/memory"
+	"pollentack.example/pollentack/internal/edge/mesh"
 	"pollentack.example/pollentack/internal/edge/sysclock"
 	"pollentack.example/pollentack/internal/edge/trace"
 	"pollentack.example/pollentack/internal/edge/upstream"
@@ -52,6 +53,8 @@
 	Store  Store
 	// DecodeItem decodes a stored item that was received from a peer.
 	DecodeItem func(key string, value []byte, revision uint64, deleted bool) discovery.Item
+	// Dial, if set, replaces the function that dials peers.
+	Dial mesh.DialFunc
 }
 
 // Gateway is one running host.
@@ -117,7 +120,7 @@
 	g.relay.dispatch = g.upstream.put
 	g.relay.cancel = g.client.Cancel
 	g.relay.record = g.logDecision
-	if g.fleet, err = newFleetDuty(g.settings, g.clock, seed, g.log); err != nil {
+	if g.fleet, err = newFleetDuty(g.settings, g.clock, seed, g.log, o.Dial); err != nil {
 		return err
 	}
 	g.fleet.record = g.logDecision
