Attempts that wait for a connection are withdrawn once the request is answered

What callers saw: nothing; targets that were back after a loss of power ran parts of queries up to 3 s after these had been answered, and counted as such (GONE, once the callers close).

Cause: an answered request left its other attempts alone, so that connections stay in use. Class: a message held on to after the world has moved on.

Change: with the answer, attempts, forwarded attempts and handoffs that have not been sent are cancelled; those that have been sent end by themselves as before. A cancel of this host is no failure of the peer: it is not backed off for it, and an attempt that never left is no reply of it either.

TestAnswerWithdrawsUnsentAttempts and the call of CancelUnsent in TestCancelEndsWaitForResponse were written with the new effects, so they did not run on the code before.

--- a/cmd/pollentack/process_test.go
+++ b/cmd/pollentack/process_test.go
@@ -28,6 +28,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(runCommandEnv) != "" {
+		dialThroughNetwork()
 		main()
 		return
 	}
--- a/cmd/pollentack/soak_test.go
+++ b/cmd/pollentack/soak_test.go
@@ -66,10 +66,12 @@
 // soak runs each gateway as a separate process against a stand-in platform and targets,
 // with callers that record their requests and answers.
 type soak struct {
-	t       *testing.T
-	rng     *rand.Rand
-	dir     string
-	site    *platformtest.Site
+	t    *testing.T
+	rng  *rand.Rand
+	dir  string
+	site *platformtest.Site
+	// hostEnv returns an environment variable for a host's process, if it is set.
+	hostEnv func(host int) string
 	started time.Time
 
 	mu        sync.Mutex
@@ -242,6 +244,9 @@
 func (s *soak) startHost(host int) {
 	cmd := exec.Command(os.Args[0], "gateway", "--settings", s.site.SettingsFiles[host])
 	cmd.Env = append(os.Environ(), runCommandEnv+"=1")
+	if s.hostEnv != nil {
+		cmd.Env = append(cmd.Env, s.hostEnv(host))
+	}
 	log, err := os.OpenFile(s.logPath(host), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		s.t.Fatal(err)
--- /dev/null
+++ b/cmd/pollentack/zoneloss_test.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"pollentack.example/pollentack/platform/platformtest"
+)
+
+const (
+	// networkEnv is an environment variable with the address of the network that a process dials its
+	// peers through, and the address of the process.
+	networkEnv = "POLLENTACK_TEST_NETWORK"
+	// zoneLossSeedsEnv is an environment variable with comma-separated seeds that replace
+	// zoneLossSeeds, and zoneLossRoundsEnv one with a number of losses that replaces zoneLossRounds.
+	zoneLossSeedsEnv  = "POLLENTACK_ZONE_LOSS_SEEDS"
+	zoneLossRoundsEnv = "POLLENTACK_ZONE_LOSS_ROUNDS"
+	zoneLossRounds    = 2
+
+	zoneLossHosts, zoneLossZones, zoneLossShards = 9, 3, 20
+	zoneLossCallers                              = 60
+	zoneLossTimeout                              = 4 * time.Second
+	// A zone is without power for zoneLossTime, and its targets' entries expire after
+	// zoneLossExpiry. zoneLossPause is the time until the next loss.
+	zoneLossTime, zoneLossExpiry, zoneLossPause = 5 * time.Second, 2500 * time.Millisecond, 4500 * time.Millisecond
+	zoneLossOneWay                              = 20 * time.Millisecond
+	// lateArrivalsAllowed is the number of requests that may reach targets soakDeadlineSlack after
+	// their answers.
+	lateArrivalsAllowed = 3
+)
+
+var zoneLossSeeds = []uint64{1}
+
+// dialThroughNetwork has a process of a test dial its peers through the test's network.
+func dialThroughNetwork() {
+	network, self, ok := strings.Cut(os.Getenv(networkEnv), " ")
+	if ok {
+		dialPeers = func(address string, timeout time.Duration) (net.Conn, error) {
+			return platformtest.Dial(network, self, address, timeout)
+		}
+	}
+}
+
+// zoneLoss is a run in which availability zones lose their power one after another.
+type zoneLoss struct {
+	*soak
+	network *platformtest.Network
+	mu      sync.Mutex
+	dark    map[int]bool
+	// sent and ended are the times of the requests and of their answers, by request ID.
+	sent, ended map[string]time.Time
+}
+
+// TestZoneLossLeavesNoStaleRequests guards against requests that wait for a host or a target without
+// power and reach targets once it is back: with more time than is left, or long after their answers.
+func TestZoneLossLeavesNoStaleRequests(t *testing.T) {
+	seeds, rounds := zoneLossSeeds, zoneLossRounds
+	if value := os.Getenv(zoneLossSeedsEnv); value != "" {
+		seeds = nil
+		for text := range strings.SplitSeq(value, ",") {
+			seed, err := strconv.ParseUint(text, 10, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			seeds = append(seeds, seed)
+		}
+	}
+	if value := os.Getenv(zoneLossRoundsEnv); value != "" {
+		n, err := strconv.Atoi(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rounds = n
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runZoneLoss(t, seed, rounds) })
+	}
+}
+
+func runZoneLoss(t *testing.T, seed uint64, rounds int) {
+	z := &zoneLoss{
+		soak: &soak{t: t, rng: rand.New(rand.NewPCG(seed, 9)), dir: t.TempDir(), version: 1},
+		dark: map[int]bool{}, sent: map[string]time.Time{}, ended: map[string]time.Time{},
+	}
+	var err error
+	z.site, err = platformtest.StartSite(z.dir, platformtest.SiteConfig{
+		Hosts: zoneLossHosts, Zones: zoneLossZones, Shards: zoneLossShards, ServiceTime: 28 * time.Millisecond, QueryTimeout: zoneLossTimeout,
+		BasePort: freePortRange(t, zoneLossHosts*platformtest.PortsPerHost), Proxied: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(z.site.Close)
+	if z.network, err = platformtest.StartNetwork(zoneLossOneWay); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(z.network.Close)
+	z.hostEnv = func(host int) string {
+		return networkEnv + "=" + z.network.Address() + " " + z.site.PeerAddresses[host]
+	}
+	t.Cleanup(z.killAll)
+	for host := range zoneLossHosts {
+		z.processes = append(z.processes, &gatewayProcess{})
+		z.startHost(host)
+	}
+	if notServing := z.awaitServing(soakRecoveryTimeout); len(notServing) > 0 {
+		t.Fatalf("hosts %v do not serve", notServing)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	for caller := range zoneLossCallers {
+		callers.Go(func() { z.runCaller(ctx, caller, rand.New(rand.NewPCG(seed, uint64(caller)))) })
+	}
+	for round := range rounds {
+		time.Sleep(zoneLossPause)
+		z.loseZone(round % zoneLossZones)
+	}
+	time.Sleep(zoneLossTimeout)
+	cancel()
+	callers.Wait()
+	z.check()
+	if t.Failed() {
+		z.keepLogs(seed)
+	}
+}
+
+// runCaller sends requests to hosts with power until ctx is done.
+func (z *zoneLoss) runCaller(ctx context.Context, caller int, rng *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{}, Timeout: zoneLossTimeout}
+	defer client.CloseIdleConnections()
+	for i := 0; ctx.Err() == nil; i++ {
+		host, id := rng.IntN(zoneLossHosts), fmt.Sprintf("c%d-%d", caller, i)
+		z.mu.Lock()
+		dark := z.dark[host]
+		z.sent[id] = time.Now()
+		z.mu.Unlock()
+		if dark {
+			continue
+		}
+		// The answer does not matter: a query may fail while its targets are without power.
+		_, _ = platformtest.SendRequest(client, z.site.FrontAddresses[host], http.MethodGet, "/search/x", id, zoneLossTimeout)
+		z.mu.Lock()
+		z.ended[id] = time.Now()
+		z.mu.Unlock()
+		time.Sleep(time.Duration(200+rng.IntN(500)) * time.Millisecond)
+	}
+}
+
+// loseZone takes the power of a zone's hosts and targets away for a while.
+func (z *zoneLoss) loseZone(zone int) {
+	hole := &platformtest.Blackhole{}
+	for host := zone; host < zoneLossHosts; host += zoneLossZones {
+		z.setDark(host, true)
+		z.network.SetPower(z.site.PeerAddresses[host], false)
+		z.signal(host, syscall.SIGKILL)
+		_ = z.processes[host].cmd.Wait()
+	}
+	var lost []*platformtest.Target
+	for _, target := range z.site.Targets {
+		if target.Zone == fmt.Sprintf("zone-%d", zone) {
+			lost = append(lost, target)
+			if err := target.LosePower(hole); err != nil {
+				z.t.Fatal(err)
+			}
+		}
+	}
+	time.Sleep(zoneLossExpiry)
+	for _, target := range lost {
+		z.site.Store.Delete(target.StoreKey())
+	}
+	time.Sleep(zoneLossTime - zoneLossExpiry)
+	hole.Close()
+	for host := zone; host < zoneLossHosts; host += zoneLossZones {
+		time.Sleep(time.Duration(z.rng.IntN(500)) * time.Millisecond)
+		z.startHost(host)
+		z.network.SetPower(z.site.PeerAddresses[host], true)
+		z.setDark(host, false)
+	}
+	for _, target := range lost {
+		if err := target.RegainPower(); err != nil {
+			z.t.Fatal(err)
+		}
+		z.site.Store.Put(target.StoreKey(), target.Registration("ready"))
+	}
+}
+
+func (z *zoneLoss) setDark(host int, dark bool) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.dark[host] = dark
+}
+
+// check compares the runs at the targets with the requests and their answers.
+func (z *zoneLoss) check() {
+	var excess, late []string
+	runs := 0
+	for _, target := range z.site.Targets {
+		for _, run := range target.Runs() {
+			sent, known := z.sent[run.ID]
+			if !known {
+				continue
+			}
+			runs++
+			ms, err := strconv.Atoi(run.Deadline)
+			if over := run.At.Add(time.Duration(ms) * time.Millisecond).Sub(sent.Add(zoneLossTimeout)); err != nil || over > soakDeadlineSlack {
+				excess = append(excess, fmt.Sprintf("%s reached %s %v after it was sent with the deadline %q", run.ID, target.Instance, run.At.Sub(sent), run.Deadline))
+			}
+			if after := run.At.Sub(z.ended[run.ID]); after > soakDeadlineSlack {
+				late = append(late, fmt.Sprintf("%s reached %s %v after its answer", run.ID, target.Instance, after))
+			}
+		}
+	}
+	z.t.Logf("%d requests, %d runs", len(z.ended), runs)
+	slices.Sort(excess)
+	slices.Sort(late)
+	if len(excess) > 0 {
+		z.t.Errorf("%d runs with more time than is left:\n  %s", len(excess), strings.Join(excess[:min(len(excess), 10)], "\n  "))
+	}
+	if len(late) > lateArrivalsAllowed {
+		z.t.Errorf("%d runs long after the answer, want at most %d:\n  %s", len(late), lateArrivalsAllowed, strings.Join(late[:min(len(late), 10)], "\n  "))
+	}
+}
--- a/internal/core/relay/completion.go
+++ b/internal/core/relay/completion.go
@@ -53,6 +53,7 @@
 		answer.Response = r.shards[0].part
 	}
 	e.finish(now, r, answer, fx)
+	e.withdrawOpen(r, fx)
 }
 
 // fail ends a request that cannot be completed. For a request to a single service the last
--- a/internal/core/relay/event.go
+++ b/internal/core/relay/event.go
@@ -185,6 +185,8 @@
 	Attempt AttemptID
 	// Via is the host name of the peer that forwards the attempt, "" for none.
 	Via string
+	// Unsent states that the attempt is left alone if it has been sent.
+	Unsent bool
 }
 
 // Part is the reply of one shard in an answer.
--- a/internal/core/relay/handoff.go
+++ b/internal/core/relay/handoff.go
@@ -71,6 +71,8 @@
 type HandoffCancel struct {
 	ID   HandoffID
 	Peer string
+	// Unsent states that the handoff is left alone if it has been sent.
+	Unsent bool
 }
 
 // HandoffEnded reports the end of a handoff.
@@ -78,9 +80,10 @@
 	ID HandoffID
 	// Answer is the peer's answer, nil if it gave none.
 	Answer *Answer
-	// NotSent states that the peer did not receive the query.
-	NotSent bool
-	Reason  string
+	// NotSent states that the peer did not receive the query, and Withdrawn that this is because a
+	// cancel came first.
+	NotSent, Withdrawn bool
+	Reason             string
 	// PeerElapsed is the time that the peer itself took for the query.
 	PeerElapsed time.Duration
 }
@@ -310,7 +313,10 @@
 // refused it because it takes none at present.
 func (e *Engine) observeHandoffEnd(now clock.Instant, h *handoff, ev *HandoffEnded) (refused bool) {
 	p := h.peer
-	if ev.Answer == nil {
+	switch {
+	case ev.Withdrawn:
+		return false
+	case ev.Answer == nil:
 		p.backoffUntil = now.Mono + peerBackoff
 		return false
 	}
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -217,6 +217,22 @@
 	}
 }
 
+// TestAnswerWithdrawsUnsentAttempts guards against attempts that wait for a connection to a host or a target
+// without power and are sent once it is back, although the request was answered by a hedge.
+func TestAnswerWithdrawsUnsentAttempts(t *testing.T) {
+	sim := newSimulation(t, 4)
+	sim.warmUp()
+	sim.behaviors["s00@z0"] = neverRespond
+	key := sim.submit("/all/x")
+	sim.advance(objective)
+	if a := sim.answer(key); a.Code != result.OK || a.Missing != 0 {
+		t.Fatalf("answer is %+v", a)
+	}
+	if len(sim.cancels) != 1 || !sim.cancels[0].Unsent {
+		t.Errorf("cancels are %+v, want one of an attempt that has not been sent", sim.cancels)
+	}
+}
+
 // TestCallerGoneCancelsAttempts checks that all attempts in progress are cancelled and no
 // further ones are sent after the caller has gone.
 func TestCallerGoneCancelsAttempts(t *testing.T) {
--- a/internal/core/relay/reply.go
+++ b/internal/core/relay/reply.go
@@ -33,6 +33,7 @@
 			a.via.backOffCutOff(now.Mono)
 		case ev.PeerFailed:
 			a.via.backoffUntil = now.Mono + peerBackoff
+		case ev.Outcome == Unsent:
 		default:
 			a.via.cutOffs = 0
 			a.via.lastReply = now.Mono
@@ -200,9 +201,25 @@
 // cancelOpen cancels the attempts and handoffs of a request that are in progress.
 func (e *Engine) cancelOpen(r *request, fx *Effects) {
 	e.cancelHandoffs(r, fx)
+	e.cancelAttempts(r, false, fx)
+}
+
+// withdrawOpen cancels the attempts and handoffs of an answered request that have not been sent, as
+// while they wait for a connection. Those that have been sent are soon over, and to cancel them would
+// cost their connections.
+func (e *Engine) withdrawOpen(r *request, fx *Effects) {
+	for _, h := range r.handoffs {
+		if h.open {
+			fx.HandoffCancels = append(fx.HandoffCancels, HandoffCancel{ID: h.id, Peer: h.peer.Host, Unsent: true})
+		}
+	}
+	e.cancelAttempts(r, true, fx)
+}
+
+func (e *Engine) cancelAttempts(r *request, unsent bool, fx *Effects) {
 	for i := range r.shards {
 		for _, a := range r.shards[i].open {
-			c := Cancel{Attempt: a.id}
+			c := Cancel{Attempt: a.id, Unsent: unsent}
 			if a.via != nil {
 				c.Via = a.via.Host
 			}
--- a/internal/edge/mesh/call.go
+++ b/internal/edge/mesh/call.go
@@ -176,7 +176,7 @@
 	case <-done:
 		return nil
 	case <-cancelled:
-		return errCancelled
+		return ErrCancelled
 	case <-timer.C:
 		return os.ErrDeadlineExceeded
 	}
@@ -208,7 +208,7 @@
 	case o := <-done:
 		return o.link, o.err
 	case <-cancelled:
-		return nil, fmt.Errorf("dial host %q at %s: %w", host.Name, host.MeshAddress, errCancelled)
+		return nil, fmt.Errorf("dial host %q at %s: %w", host.Name, host.MeshAddress, ErrCancelled)
 	case <-timer.C:
 		return nil, fmt.Errorf("dial host %q at %s: %w", host.Name, host.MeshAddress, os.ErrDeadlineExceeded)
 	}
--- a/internal/edge/mesh/pending.go
+++ b/internal/edge/mesh/pending.go
@@ -30,29 +30,43 @@
 	return &PendingCall{payload: payload, done: make(chan struct{})}
 }
 
-// errCancelled is the reason of a call that Cancel has ended.
-var errCancelled = errors.New("call was cancelled")
+// ErrCancelled is the reason of a call that Cancel or CancelUnsent has ended.
+var ErrCancelled = errors.New("call was cancelled")
 
 // Cancel ends the call, and reports whether its request may have been sent.
 func (c *PendingCall) Cancel() (sent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.cancelled {
-		c.cancelled = true
-		close(c.done)
-		if c.stream != nil {
-			_ = c.stream.SetDeadline(time.Unix(1, 0))
-		}
-	}
+	c.cancel()
 	return c.sent
 }
 
+// CancelUnsent ends the call unless its request may have been sent.
+func (c *PendingCall) CancelUnsent() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.sent {
+		c.cancel()
+	}
+}
+
+func (c *PendingCall) cancel() {
+	if c.cancelled {
+		return
+	}
+	c.cancelled = true
+	close(c.done)
+	if c.stream != nil {
+		_ = c.stream.SetDeadline(time.Unix(1, 0))
+	}
+}
+
 // begin returns the request to send on a stream.
 func (c *PendingCall) begin(stream *yamux.Stream) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cancelled {
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, errCancelled)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrCancelled)
 	}
 	payload, err := c.payload()
 	if err != nil {
--- a/internal/edge/mesh/pending_test.go
+++ b/internal/edge/mesh/pending_test.go
@@ -83,6 +83,12 @@
 	c := fixedCall(nil)
 	ended := callLater(a, c)
 	<-arrived
+	c.CancelUnsent()
+	select {
+	case err := <-ended:
+		t.Fatalf("a call that was sent ended with %v, although only an unsent one was to be cancelled", err)
+	case <-time.After(50 * time.Millisecond):
+	}
 	if !c.Cancel() {
 		t.Error("a call that has arrived counts as not sent")
 	}
--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -125,6 +125,15 @@
 	}
 }
 
+// CancelUnsent cancels an attempt that has no connection yet.
+func (c *Client) CancelUnsent(id relay.AttemptID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if x := c.exchanges[id]; x != nil && x.conn == nil {
+		x.cancelled = true
+	}
+}
+
 // Register adds the exchange of an attempt, so that it can be cancelled before a worker calls
 // Do. Do must follow, since it removes the exchange.
 func (c *Client) Register(id relay.AttemptID) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,7 +118,7 @@
 	}
 	g.upstream.observeLatency = g.latency.observeAttempt
 	g.relay.dispatch = g.upstream.put
-	g.relay.cancel = g.client.Cancel
+	g.relay.cancel, g.relay.cancelUnsent = g.client.Cancel, g.client.CancelUnsent
 	g.relay.record = g.logDecision
 	if g.fleet, err = newFleetDuty(g.settings, g.clock, seed, g.log, o.Dial); err != nil {
 		return err
@@ -129,6 +129,7 @@
 	// If the ring is full, the measurement is dropped. The next exchange measures again.
 	g.fleet.onRoundTrip = func(zone string, took time.Duration) { g.relay.put(&relay.RTTMeasured{Zone: zone, RTT: took}) }
 	g.upstream.handoffs = newHandoffs(g.clock, g.fleet.mesh, g.relay, g.waiters, g.budget, g.log, o.Tracer)
+	g.relay.withdraw = g.upstream.handoffs.withdraw
 	if g.discovery, err = newDiscoveryDuty(g.settings, o.Store, g.clock, seed, g.log); err != nil {
 		return err
 	}
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -83,6 +83,7 @@
 	reply, err := h.call(x, remaining)
 	if err != nil {
 		ended.NotSent = errors.Is(err, mesh.ErrNotSent)
+		ended.Withdrawn = errors.Is(err, mesh.ErrCancelled)
 		ended.Reason = err.Error()
 		h.put(ended)
 		return
@@ -161,6 +162,9 @@
 	reply := &relay.AttemptEnded{Attempt: s.Attempt}
 	out, err := h.call(x, remaining)
 	switch {
+	case errors.Is(err, mesh.ErrCancelled):
+		reply.Outcome, reply.Reason = relay.Unsent, err.Error()
+		return reply
 	case errors.Is(err, mesh.ErrNotSent):
 		reply.Outcome, reply.Reason, reply.PeerFailed = relay.Unsent, err.Error(), true
 		return reply
@@ -195,6 +199,13 @@
 	_, _ = h.mesh.Call(x.Peer, wire.CallKind_CALL_KIND_GATHER_CANCEL, marshal(&wire.GatherCancel{Handoff: uint64(x.ID)}), cancelTimeout)
 }
 
+// withdraw cancels a handoff that has not been sent.
+func (h *handoffs) withdraw(id relay.HandoffID) {
+	if o := h.outboundOf(id); o != nil {
+		o.call.CancelUnsent()
+	}
+}
+
 // tellTimeout is the timeout of a message about crashes.
 const tellTimeout = time.Second
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -31,8 +31,11 @@
 	inbox    *ring.Ring[relay.Event]
 	dispatch func(job) bool
 	cancel   func(relay.AttemptID)
-	deliver  func(relay.Answer)
-	record   func(*decision.Record)
+	// cancelUnsent and withdraw cancel what has not been sent, and do not block.
+	cancelUnsent func(relay.AttemptID)
+	withdraw     func(relay.HandoffID)
+	deliver      func(relay.Answer)
+	record       func(*decision.Record)
 	// undispatched holds the events that report the jobs for which the upstream ring had no
 	// room.
 	undispatched []relay.Event
@@ -126,11 +129,24 @@
 
 // cancelAttempt cancels an attempt on this host, or on the peer that it was forwarded to.
 func (r *relayDuty) cancelAttempt(c relay.Cancel) {
-	if c.Via == "" {
+	switch {
+	case c.Via != "":
+		r.cancelHandoff(relay.HandoffCancel{ID: forwardedID(c.Attempt), Peer: c.Via, Unsent: c.Unsent})
+	case c.Unsent:
+		r.cancelUnsent(c.Attempt)
+	default:
 		r.cancel(c.Attempt)
+	}
+}
+
+// cancelHandoff cancels a handoff, on a worker unless nothing is sent for it.
+func (r *relayDuty) cancelHandoff(c relay.HandoffCancel) {
+	if c.Unsent {
+		r.withdraw(c.ID)
 		return
 	}
-	r.dispatch(job{handoffCancel: &relay.HandoffCancel{ID: forwardedID(c.Attempt), Peer: c.Via}})
+	// If the ring has no room, the peer only does work whose result is not used.
+	r.dispatch(job{handoffCancel: &c})
 }
 
 // applyHandoffs carries out the effects that concern handoffs to peers.
@@ -157,9 +173,7 @@
 		r.dispatch(job{tell: &x})
 	}
 	for i := range fx.HandoffCancels {
-		x := fx.HandoffCancels[i]
-		// If the ring has no room, the peer only does work whose result is not used.
-		r.dispatch(job{handoffCancel: &x})
+		r.cancelHandoff(fx.HandoffCancels[i])
 	}
 }
 
