The time for which a handoff was held up counts into its age

Change: the delay that Transits measures is part of the age.

Evidence: TestDelayedHandoffHasLessTime failed before, "the attempt has 930ms, want at most 865ms" for a delay of 75 ms; TestDelayedHandoffIsRefused holds.

--- a/internal/core/relay/handoff_test.go
+++ b/internal/core/relay/handoff_test.go
@@ -493,6 +493,24 @@
 	})
 }
 
+// TestDelayedHandoffHasLessTime guards against targets that are handed more time than is left, since a handoff
+// was held up on its way for less time than its sender waits.
+func TestDelayedHandoffHasLessTime(t *testing.T) {
+	const age, delay = 60 * time.Millisecond, objective / 2
+	sim := newSimulation(t, 4)
+	sim.warmUp()
+	sim.nextKey++
+	sim.step(&Submit{Request: &Request{Key: sim.nextKey, ID: "late", Delay: delay, Gather: &GatherSpec{
+		Route: "/all/", Services: []string{"s01"}, TopK: 3, MaxAttempts: 1, Objective: objective, Timeout: timeout, Age: age, Direct: true,
+	}}})
+	if len(sim.sends) != 1 {
+		t.Fatalf("%d attempts, want 1", len(sim.sends))
+	}
+	if left, want := sim.sends[0].Deadline-sim.now.Mono, timeout-age-delay; left > want {
+		t.Errorf("the attempt has %v, want at most %v", left, want)
+	}
+}
+
 // TestDelayedHandoffIsRefused replays a handoff that a cut connection delivers two seconds late:
 // its sender has given it up, and the shards must not be asked. A handoff that was delayed by less
 // than its sender waits is served.
--- a/internal/core/relay/submit.go
+++ b/internal/core/relay/submit.go
@@ -127,9 +127,10 @@
 	}
 	r.replyMargin = min(max(route.LatencyObjective/replyMarginDivisor, minReplyMargin), maxReplyMargin) + e.lag.expected(route.LatencyObjective)
 	if rq.Gather != nil {
-		// The age of a handoff includes the margins that its sender reserves.
-		r.replyMargin = rq.Gather.Age
-		limit -= rq.Gather.Age
+		// The age of a handoff includes the margins that its sender reserves, but not how long a cut
+		// connection or a paused host held it up.
+		r.replyMargin = rq.Gather.Age + rq.Delay
+		limit -= r.replyMargin
 	}
 	r.deadline = r.started + limit - deadlineMargin
 	if e.drainUntil > 0 {
