The end of a link with many calls on it does not hold the processor

Cause: when a yamux session ends, each Stream.Read that waits on it is woken, finds its stream still open and tries again, until the session has closed that stream. On one processor hundreds of them keep the thread that closes them from running. Class: calls held on to after their link has gone.

Change: a link knows its streams. The session closes its connection whatever ended it, and before that the deadlines of all its streams are set to the past, so that a Read that is woken returns; none can be set after. The library stays.

--- a/internal/edge/mesh/call.go
+++ b/internal/edge/mesh/call.go
@@ -75,8 +75,9 @@
 		l.probeAfter(err)
 		return nil, fmt.Errorf("%w: open stream to %q: %w", ErrNotSent, l.peer, err)
 	}
-	if err := stream.SetDeadline(deadline); err != nil {
-		return nil, errors.Join(fmt.Errorf("%w: set deadline: %w", ErrNotSent, err), stream.Close())
+	if err := l.streams.waits.setDeadline(stream, deadline); err != nil {
+		l.streams.close(stream)
+		return nil, fmt.Errorf("%w: set deadline: %w", ErrNotSent, err)
 	}
 	payload, err := c.begin(stream)
 	if err != nil {
@@ -89,7 +90,7 @@
 	if err == nil {
 		l.streams.put(stream)
 	} else {
-		_ = stream.Close()
+		l.streams.close(stream)
 	}
 	if err == nil && m.options.ObserveRTT != nil {
 		m.options.ObserveRTT(l.peer, kind, time.Since(start))
@@ -217,13 +218,14 @@
 // serveCalls serves the calls on a stream, one after another, until the peer closes it. The first
 // request must arrive within requestTimeout.
 func (l *link) serveCalls(stream *yamux.Stream) {
-	defer func() { _ = stream.Close() }()
-	if err := stream.SetReadDeadline(time.Now().Add(requestTimeout)); err != nil {
+	l.streams.waits.add(stream)
+	defer l.streams.close(stream)
+	if err := l.streams.waits.setReadDeadline(stream, time.Now().Add(requestTimeout)); err != nil {
 		return
 	}
 	for l.serveCall(stream) {
 		stream.Shrink()
-		if err := stream.SetReadDeadline(time.Time{}); err != nil {
+		if err := l.streams.waits.setReadDeadline(stream, time.Time{}); err != nil {
 			return
 		}
 	}
--- a/internal/edge/mesh/dial.go
+++ b/internal/edge/mesh/dial.go
@@ -88,8 +88,8 @@
 		l.close()
 	}
 	for _, s := range streams {
-		if m.linkWorkers.Submit(func() { _ = s.Close() }) != nil {
-			_ = s.Close()
+		if m.linkWorkers.Submit(s.close) != nil {
+			s.close()
 		}
 	}
 }
--- a/internal/edge/mesh/frameconn.go
+++ b/internal/edge/mesh/frameconn.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"net"
+
+	"github.com/hashicorp/yamux"
 )
 
 // The header of a yamux frame: version, type, flags, stream ID and length, big-endian.
@@ -30,9 +32,19 @@
 	held []byte
 	// bodyFollows is set after the header of a data frame.
 	bodyFollows bool
+	// waits are the waits on the session's streams, which end with the connection.
+	waits *streamWaits
+}
+
+func newFrameConn(conn net.Conn) *frameConn {
+	return &frameConn{Conn: conn, waits: &streamWaits{streams: map[*yamux.Stream]struct{}{}}}
 }
 
-func newFrameConn(conn net.Conn) *frameConn { return &frameConn{Conn: conn} }
+// Close implements net.Conn. A session that ends for any reason closes its connection.
+func (c *frameConn) Close() error {
+	c.waits.end()
+	return c.Conn.Close()
+}
 
 // Write implements net.Conn. Data that is held back counts as written.
 func (c *frameConn) Write(b []byte) (int, error) {
--- a/internal/edge/mesh/hello.go
+++ b/internal/edge/mesh/hello.go
@@ -97,7 +97,8 @@
 // dialSession performs the dialing side of the handshake: it opens the session and the
 // heartbeat stream, exchanges hellos and registers the link.
 func (m *Mesh) dialSession(conn net.Conn, peer string) (*link, error) {
-	session, err := yamux.Client(newFrameConn(conn), m.sessionConfig(true))
+	framed := newFrameConn(conn)
+	session, err := yamux.Client(framed, m.sessionConfig(true))
 	if err != nil {
 		return nil, fmt.Errorf("open session: %w", err)
 	}
@@ -116,7 +117,7 @@
 	if err != nil {
 		return nil, errors.Join(err, session.Close())
 	}
-	l := newLink(m, session, stream, remote)
+	l := newLink(m, session, framed.waits, stream, remote)
 	if err := m.register(l, m.options.Host); err != nil {
 		return nil, errors.Join(err, session.Close())
 	}
@@ -149,11 +150,12 @@
 			return nil, err
 		}
 	}
-	session, err := yamux.Server(newFrameConn(conn), m.sessionConfig(false))
+	framed := newFrameConn(conn)
+	session, err := yamux.Server(framed, m.sessionConfig(false))
 	if err != nil {
 		return nil, fmt.Errorf("open session: %w", err)
 	}
-	l, err := m.answerHello(conn, session)
+	l, err := m.answerHello(conn, session, framed.waits)
 	if err != nil {
 		return nil, errors.Join(err, session.Close())
 	}
@@ -162,7 +164,7 @@
 
 // answerHello accepts the heartbeat stream, checks the dialer's hello, registers the link
 // and writes the local hello, with the reason if the link is refused.
-func (m *Mesh) answerHello(conn net.Conn, session *yamux.Session) (*link, error) {
+func (m *Mesh) answerHello(conn net.Conn, session *yamux.Session, waits *streamWaits) (*link, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
 	stream, err := session.AcceptStreamWithContext(ctx)
@@ -177,7 +179,7 @@
 		return nil, err
 	}
 	local := m.newHello(remote.GetHost())
-	l := newLink(m, session, stream, remote)
+	l := newLink(m, session, waits, stream, remote)
 	err = m.checkHello(remote, conn, remote.GetHost())
 	if err == nil {
 		err = m.register(l, remote.GetHost())
--- a/internal/edge/mesh/link.go
+++ b/internal/edge/mesh/link.go
@@ -35,14 +35,15 @@
 	closeOnce sync.Once
 }
 
-func newLink(m *Mesh, session *yamux.Session, heartbeats *yamux.Stream, h *wire.Hello) *link {
+func newLink(m *Mesh, session *yamux.Session, waits *streamWaits, heartbeats *yamux.Stream, h *wire.Hello) *link {
+	waits.add(heartbeats)
 	l := &link{
 		mesh:        m,
 		peer:        h.GetHost(),
 		incarnation: h.GetIncarnation().ToCore(),
 		session:     session,
 		heartbeats:  heartbeats,
-		streams:     streamPool{session: session, reusable: h.GetReusesStreams()},
+		streams:     streamPool{session: session, waits: waits, reusable: h.GetReusesStreams()},
 		outbox:      ring.New[*wire.Heartbeat]("mesh "+h.GetHost(), outboxCapacity),
 	}
 	l.lastUsed.Store(time.Now().UnixNano())
@@ -149,7 +150,7 @@
 	defer l.close()
 	for {
 		if !l.mesh.options.Insecure {
-			if err := l.heartbeats.SetReadDeadline(time.Now().Add(l.mesh.heartbeatTimeoutFor(l.peer))); err != nil {
+			if err := l.streams.waits.setReadDeadline(l.heartbeats, time.Now().Add(l.mesh.heartbeatTimeoutFor(l.peer))); err != nil {
 				return
 			}
 		}
