A starting host waits for the whole of its peer's catalog

What callers would see: answers without shards, or none, of a host that has just started while another writer's large entries lie in the store.

Cause: a peer's reply is limited to 0.8 MB, oldest items first. A host that starts published its view, and took requests, after the first such reply. Class: a part taken for the whole.

Change: a reply that ends before the revision of the peer's own list is a part: the view is not published, and the rest is asked for at once instead of after 200 ms a reply. No new field: both revisions are in every reply.

Evidence: TestPartialCatalogOfPeerIsNotPublished failed before: "view ... was published, a part of the peer's".

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -475,7 +475,9 @@
 	fx.Progress = f.progress(!stale)
 	fx.Progress.Path = ev.Path
 	f.nextCallAt = now.Mono
-	f.nextCallAt += f.coalesce(len(ev.Items) > 0)
+	if f.current == storeSource || !ev.isPartial() {
+		f.nextCallAt += f.coalesce(len(ev.Items) > 0)
+	}
 	f.sourceVerified = !stale
 }
 
--- a/internal/core/discovery/discovery_test.go
+++ b/internal/core/discovery/discovery_test.go
@@ -513,6 +513,26 @@
 	}
 }
 
+// TestPartialCatalogOfPeerIsNotPublished guards against a host that starts while large entries lie in the store
+// and answers without the targets or routes of the peer's later replies.
+func TestPartialCatalogOfPeerIsNotPublished(t *testing.T) {
+	h := &harness{t: t, f: New(Config{Self: "self", WaitForPeers: true, Seed: 1})}
+	h.step(&Start{})
+	h.step(&Sources{Hosts: []string{"peer", "self"}})
+	h.advance(coalesceDelay)
+	h.step(&Changes{Items: []Item{configItem(3, 7), targetItem(5, "a")}, Revision: 5, KnownSince: 9})
+	if h.fx.View != nil {
+		t.Errorf("view %+v was published, a part of the peer's", h.fx.View)
+	}
+	if c := h.fx.Call; c == nil || c.Peer != "peer" || c.AfterRevision != 5 {
+		t.Fatalf("next call is %+v, want the rest at once", c)
+	}
+	h.step(&Changes{Items: []Item{targetItem(8, "b")}, Revision: 9, KnownSince: 9, Live: []uint64{KeyHash("t/a"), KeyHash("t/b")}, HasLive: true})
+	if v := h.fx.View; v == nil || v.Targets["a"] == nil || v.Targets["b"] == nil {
+		t.Errorf("view %+v, want both targets", v)
+	}
+}
+
 // TestUnusableWatchIsReplacedByList guards against a host that learns nothing while the reply to its watch
 // is too large to read, or holds what cannot be read: it would ask for the same reply for ever.
 func TestUnusableWatchIsReplacedByList(t *testing.T) {
--- a/internal/core/discovery/source.go
+++ b/internal/core/discovery/source.go
@@ -105,8 +105,12 @@
 	return len(path) > maxPathHosts || slices.Contains(path, f.cfg.Self)
 }
 
+// isPartial reports whether a peer's reply leaves out items of the list that the peer has made or
+// learnt: a reply has a limited size, and the oldest items come first.
+func (c *Changes) isPartial() bool { return c.Revision < c.KnownSince }
+
 // handlePeerReply updates the state of the current source from a peer's reply. A peer sends
-// all the items it knows, so that after an up-to-date reply no list is needed.
+// all the items it knows, so that after its up-to-date replies no list is needed.
 func (f *Follower) handlePeerReply(now clock.Instant, ev *Changes, stale bool, fx *Effects) {
 	if stale && f.sourceVerified {
 		f.peerStale = true
@@ -117,7 +121,7 @@
 	if stale {
 		f.unavailableUntil[f.current] = now.Mono + stalePeerRetryDelay
 	}
-	if ev.Revision >= f.view.Revision && ev.Revision > 0 && !stale {
+	if ev.Revision >= f.view.Revision && ev.Revision > 0 && !stale && !ev.isPartial() {
 		f.phase = watching
 		f.complete = true
 	}
