Entries of services that the configuration does not name prove no cut

What callers would see: a host that serves few of its requests while another writer's entries lie in the store: it refuses what peers hand to it, and forwards its own queries, as one that is cut off from all targets.

Cause: a host that has a silent target checks one target of each zone, drawn from all entries, also those of services that no configuration names. Nothing listens at their addresses, and a round of refusals counts as a cut. Class: evidence taken from what names no target.

Change: only targets of named services are checked.

Evidence: TestEntriesOfUnnamedServicesProveNoCut (200 such entries, one target that does not answer) failed before: "a host that reaches all targets but one counts as cut off". With the few entries of the users' record it would take luck, so this is not shown to be their case.

--- a/internal/core/relay/reach.go
+++ b/internal/core/relay/reach.go
@@ -129,11 +129,14 @@
 }
 
 // probeTargets returns one target of each availability zone, if possible one that has not failed, the
-// nearest first.
+// nearest first. An entry of a service that the configuration does not name may be another writer's.
 func (e *Engine) probeTargets() []*target {
 	sound, failed := map[string][]*target{}, map[string][]*target{}
 	for _, name := range sortedKeys(e.targets) {
 		t := e.targets[name]
+		if e.view.Config != nil && e.view.Config.Services[t.spec.Service] == nil {
+			continue
+		}
 		if e.reach.silent[t] || t.consecutiveFailures > 0 {
 			failed[t.spec.Zone] = append(failed[t.spec.Zone], t)
 		} else {
--- a/internal/core/relay/reach_test.go
+++ b/internal/core/relay/reach_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"pollentack.example/pollentack/internal/core/catalog"
 	"pollentack.example/pollentack/internal/core/result"
 )
 
@@ -109,6 +110,30 @@
 	}
 }
 
+// TestEntriesOfUnnamedServicesProveNoCut guards against hosts that refuse queries as if they were cut off,
+// because they checked addresses at which nothing listens: those of another writer's entries.
+func TestEntriesOfUnnamedServicesProveNoCut(t *testing.T) {
+	sim := newSimulation(t, 4)
+	view := testView(4)
+	for i := range 200 {
+		name := fmt.Sprintf("x%d", i)
+		view.Targets[name] = &catalog.Target{Instance: name, Service: "unnamed", Address: name, Zone: fmt.Sprintf("z%d", i%2), Slots: 4, Revision: 1}
+		sim.refusing[name] = true
+	}
+	sim.step(&ViewChanged{View: view})
+	sim.warmUp()
+	sim.behaviors["s00@z0"] = neverRespond
+	for range 10 {
+		sim.submit("/all/x")
+		for range 40 {
+			sim.advance(10 * time.Millisecond)
+			if sim.engine.reach.cutOff {
+				t.Fatal("a host that reaches all targets but one counts as cut off")
+			}
+		}
+	}
+}
+
 // TestHostWithFewRequestsNoticesThatItIsCutOff sends a host that gathers nothing a request to one
 // service now and then. Only the first one after the cut may fail: the host must not need several to
 // learn that the targets are not to blame.
