Zone loss: requests to one service too, and the outage in the stand-ins

Cause: the run sent only queries to all shards, and took a zone's power away step by step in the test. Change: a quarter of the requests go to one target; platformtest.Outage holds the steps, and the soak's reading of seeds is shared.

--- a/cmd/pollentack/soak_test.go
+++ b/cmd/pollentack/soak_test.go
@@ -89,27 +89,43 @@
 // into targets, links and the store, changes settings and configuration, and checks the
 // invariants of the gateway on what callers and targets observed.
 func TestGatewaySoak(t *testing.T) {
-	seeds, hosts := soakSeeds, soakHosts
-	if value := os.Getenv(soakSeedsEnv); value != "" {
-		seeds = nil
-		for text := range strings.SplitSeq(value, ",") {
-			seed, err := strconv.ParseUint(text, 10, 64)
-			if err != nil {
-				t.Fatal(err)
-			}
-			seeds = append(seeds, seed)
-		}
+	hosts := numberFromEnv(t, soakHostsEnv, soakHosts)
+	for _, seed := range seedsFromEnv(t, soakSeedsEnv, soakSeeds) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSoak(t, seed, hosts) })
+	}
+}
+
+// seedsFromEnv returns the comma-separated seeds of an environment variable, or the given ones if it is
+// empty.
+func seedsFromEnv(t *testing.T, name string, otherwise []uint64) []uint64 {
+	t.Helper()
+	value := os.Getenv(name)
+	if value == "" {
+		return otherwise
 	}
-	if value := os.Getenv(soakHostsEnv); value != "" {
-		n, err := strconv.Atoi(value)
+	var seeds []uint64
+	for text := range strings.SplitSeq(value, ",") {
+		seed, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
 			t.Fatal(err)
 		}
-		hosts = n
+		seeds = append(seeds, seed)
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSoak(t, seed, hosts) })
+	return seeds
+}
+
+// numberFromEnv returns the number in an environment variable, or the given one if it is empty.
+func numberFromEnv(t *testing.T, name string, otherwise int) int {
+	t.Helper()
+	value := os.Getenv(name)
+	if value == "" {
+		return otherwise
+	}
+	n, err := strconv.Atoi(value)
+	if err != nil {
+		t.Fatal(err)
 	}
+	return n
 }
 
 func runSoak(t *testing.T, seed uint64, hosts int) {
--- a/cmd/pollentack/zoneloss_test.go
+++ b/cmd/pollentack/zoneloss_test.go
@@ -65,25 +65,8 @@
 // TestZoneLossLeavesNoStaleRequests guards against requests that wait for a host or a target without
 // power and reach targets once it is back: with more time than is left, or long after their answers.
 func TestZoneLossLeavesNoStaleRequests(t *testing.T) {
-	seeds, rounds := zoneLossSeeds, zoneLossRounds
-	if value := os.Getenv(zoneLossSeedsEnv); value != "" {
-		seeds = nil
-		for text := range strings.SplitSeq(value, ",") {
-			seed, err := strconv.ParseUint(text, 10, 64)
-			if err != nil {
-				t.Fatal(err)
-			}
-			seeds = append(seeds, seed)
-		}
-	}
-	if value := os.Getenv(zoneLossRoundsEnv); value != "" {
-		n, err := strconv.Atoi(value)
-		if err != nil {
-			t.Fatal(err)
-		}
-		rounds = n
-	}
-	for _, seed := range seeds {
+	rounds := numberFromEnv(t, zoneLossRoundsEnv, zoneLossRounds)
+	for _, seed := range seedsFromEnv(t, zoneLossSeedsEnv, zoneLossSeeds) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runZoneLoss(t, seed, rounds) })
 	}
 }
@@ -140,7 +123,10 @@
 	client := &http.Client{Transport: &http.Transport{}, Timeout: zoneLossTimeout}
 	defer client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
-		host, id := rng.IntN(zoneLossHosts), fmt.Sprintf("c%d-%d", caller, i)
+		host, id, path := rng.IntN(zoneLossHosts), fmt.Sprintf("c%d-%d", caller, i), "/search/x"
+		if rng.IntN(4) == 0 {
+			path = platformtest.ProbePath(z.version) + "x"
+		}
 		z.mu.Lock()
 		dark := z.dark[host]
 		z.sent[id] = time.Now()
@@ -149,7 +135,7 @@
 			continue
 		}
 		// The answer does not matter: a query may fail while its targets are without power.
-		_, _ = platformtest.SendRequest(client, z.site.FrontAddresses[host], http.MethodGet, "/search/x", id, zoneLossTimeout)
+		_, _ = platformtest.SendRequest(client, z.site.FrontAddresses[host], http.MethodGet, path, id, zoneLossTimeout)
 		z.mu.Lock()
 		z.ended[id] = time.Now()
 		z.mu.Unlock()
@@ -159,40 +145,26 @@
 
 // loseZone takes the power of a zone's hosts and targets away for a while.
 func (z *zoneLoss) loseZone(zone int) {
-	hole := &platformtest.Blackhole{}
-	for host := zone; host < zoneLossHosts; host += zoneLossZones {
+	outage, err := z.site.LosePower(z.network, zone)
+	if err != nil {
+		z.t.Fatal(err)
+	}
+	for _, host := range outage.Hosts {
 		z.setDark(host, true)
-		z.network.SetPower(z.site.PeerAddresses[host], false)
 		z.signal(host, syscall.SIGKILL)
 		_ = z.processes[host].cmd.Wait()
 	}
-	var lost []*platformtest.Target
-	for _, target := range z.site.Targets {
-		if target.Zone == fmt.Sprintf("zone-%d", zone) {
-			lost = append(lost, target)
-			if err := target.LosePower(hole); err != nil {
-				z.t.Fatal(err)
-			}
-		}
-	}
 	time.Sleep(zoneLossExpiry)
-	for _, target := range lost {
-		z.site.Store.Delete(target.StoreKey())
-	}
+	outage.ExpireEntries()
 	time.Sleep(zoneLossTime - zoneLossExpiry)
-	hole.Close()
-	for host := zone; host < zoneLossHosts; host += zoneLossZones {
+	if err := outage.End(); err != nil {
+		z.t.Fatal(err)
+	}
+	for _, host := range outage.Hosts {
 		time.Sleep(time.Duration(z.rng.IntN(500)) * time.Millisecond)
 		z.startHost(host)
-		z.network.SetPower(z.site.PeerAddresses[host], true)
 		z.setDark(host, false)
 	}
-	for _, target := range lost {
-		if err := target.RegainPower(); err != nil {
-			z.t.Fatal(err)
-		}
-		z.site.Store.Put(target.StoreKey(), target.Registration("ready"))
-	}
 }
 
 func (z *zoneLoss) setDark(host int, dark bool) {
