Hellos between hosts are dated, so that a first handoff held up is seen

Cause: the delay of a message is measured against earlier ones of the same process; the first one has none, and targets get its delay as time that is left.

Change: each hello names its process and the time on its clock. It is answered while the link is made, so it shows the usual transit before the first handoff. Hellos without these fields, of earlier builds, are not used.

--- a/internal/edge/mesh/hello.go
+++ b/internal/edge/mesh/hello.go
@@ -37,7 +37,7 @@
 }
 
 func (m *Mesh) newHello(to string) *wire.Hello {
-	return &wire.Hello{
+	h := &wire.Hello{
 		Version:       wire.ProtocolVersion,
 		Host:          m.options.Host,
 		Zone:          m.options.Zone,
@@ -45,6 +45,18 @@
 		To:            to,
 		ReusesStreams: true,
 	}
+	if m.options.Stamp != nil {
+		process, sentAt := m.options.Stamp()
+		h.Process, h.SentAt = process, int64(sentAt)
+	}
+	return h
+}
+
+// observeHello passes on when a peer's hello was sent, which has just arrived.
+func (m *Mesh) observeHello(h *wire.Hello) {
+	if m.options.Observe != nil && h.GetProcess() != 0 {
+		m.options.Observe(h.GetHost(), h.GetProcess(), time.Duration(h.GetSentAt()))
+	}
 }
 
 // connect dials a host, performs the handshake and registers the link.
@@ -117,6 +129,7 @@
 	if err != nil {
 		return nil, errors.Join(err, session.Close())
 	}
+	m.observeHello(remote)
 	l := newLink(m, session, framed.waits, stream, remote)
 	if err := m.register(l, m.options.Host); err != nil {
 		return nil, errors.Join(err, session.Close())
@@ -182,6 +195,7 @@
 	l := newLink(m, session, waits, stream, remote)
 	err = m.checkHello(remote, conn, remote.GetHost())
 	if err == nil {
+		m.observeHello(remote)
 		err = m.register(l, remote.GetHost())
 	}
 	if err != nil {
--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -87,6 +87,10 @@
 	// ObserveRTT, if set, is called after each successful call with its round-trip time, which
 	// excludes the time to establish the link.
 	ObserveRTT func(peer string, kind wire.CallKind, took time.Duration)
+	// Stamp, if set, returns this process and the time on its monotonic clock, with which its hello is
+	// dated. Observe receives the same of a peer, as soon as its hello has arrived.
+	Stamp   func() (process uint64, sentAt time.Duration)
+	Observe func(peer string, process uint64, sentAt time.Duration)
 	// Insecure accepts any host without certificates, for a network that only the system's
 	// hosts can reach. Host names are learned from hellos. Heartbeats are optional, so dead
 	// links are detected by the keep-alive of the sessions.
--- a/internal/edge/mesh/mesh_test.go
+++ b/internal/edge/mesh/mesh_test.go
@@ -100,6 +100,31 @@
 	}
 }
 
+// TestHellosAreDated guards against first messages to a process that has just started whose delay on the way
+// cannot be seen, since no earlier one shows the usual transit.
+func TestHellosAreDated(t *testing.T) {
+	type stamp struct {
+		peer    string
+		process uint64
+		sentAt  time.Duration
+	}
+	seen := make(chan stamp, 8)
+	dated := func(process uint64) func(*Options) {
+		return func(o *Options) {
+			o.Stamp = func() (uint64, time.Duration) { return process, time.Duration(process) * time.Second }
+			o.Observe = func(peer string, process uint64, sentAt time.Duration) { seen <- stamp{peer, process, sentAt} }
+		}
+	}
+	connectPeers(t, startPeer(t, "a", 1, dated(3)), startPeer(t, "b", 2, dated(5)))
+	first, second := <-seen, <-seen
+	if first.peer == "b" {
+		first, second = second, first
+	}
+	if first != (stamp{"a", 3, 3 * time.Second}) || second != (stamp{"b", 5, 5 * time.Second}) {
+		t.Errorf("hellos are dated %+v and %+v", first, second)
+	}
+}
+
 func TestEitherSideCanCall(t *testing.T) {
 	a, b := startPeer(t, "a", 1, nil), startPeer(t, "b", 2, nil)
 	for _, p := range []*peer{a, b} {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,7 +120,8 @@
 	g.relay.dispatch = g.upstream.put
 	g.relay.cancel, g.relay.cancelUnsent = g.client.Cancel, g.client.CancelUnsent
 	g.relay.record = g.logDecision
-	if g.fleet, err = newFleetDuty(g.settings, g.clock, seed, g.log, o.Dial); err != nil {
+	measured := newTransits(g.clock)
+	if g.fleet, err = newFleetDuty(g.settings, g.clock, seed, g.log, measured, o.Dial); err != nil {
 		return err
 	}
 	g.fleet.record = g.logDecision
@@ -128,7 +129,7 @@
 	g.fleet.onRoster = g.roster.put
 	// If the ring is full, the measurement is dropped. The next exchange measures again.
 	g.fleet.onRoundTrip = func(zone string, took time.Duration) { g.relay.put(&relay.RTTMeasured{Zone: zone, RTT: took}) }
-	g.upstream.handoffs = newHandoffs(g.clock, g.fleet.mesh, g.relay, g.waiters, g.budget, g.log, o.Tracer)
+	g.upstream.handoffs = newHandoffs(g.clock, measured, g.fleet.mesh, g.relay, g.waiters, g.budget, g.log, o.Tracer)
 	g.relay.withdraw = g.upstream.handoffs.withdraw
 	if g.discovery, err = newDiscoveryDuty(g.settings, o.Store, g.clock, seed, g.log); err != nil {
 		return err
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -36,15 +36,11 @@
 	log     zerolog.Logger
 	tracer  *trace.Tracer
 
-	// process identifies this process, whose clock dates the calls.
-	process uint64
-
-	mu sync.Mutex
+	transits *transits
+	mu       sync.Mutex
 	// outbound holds the handoffs and forwarded attempts to peers in progress, from the time when
 	// they were decided on.
 	outbound map[relay.HandoffID]*outboundHandoff
-	// transits measures how long the calls of peers were on their way.
-	transits *relay.Transits
 	// inbound holds the handoffs from peers in progress. Closing the channel cancels a handoff.
 	inbound map[inboundKey]chan struct{}
 }
@@ -65,10 +61,10 @@
 	id   uint64
 }
 
-func newHandoffs(clk sysclock.Clock, m *mesh.Mesh, r *relayDuty, waiters *await.Waiters[relay.Answer], budget *memory.Budget, log zerolog.Logger, tracer *trace.Tracer) *handoffs {
+func newHandoffs(clk sysclock.Clock, tr *transits, m *mesh.Mesh, r *relayDuty, waiters *await.Waiters[relay.Answer], budget *memory.Budget, log zerolog.Logger, tracer *trace.Tracer) *handoffs {
 	h := &handoffs{
 		clock: clk, mesh: m, budget: budget, submit: r.submit, put: r.put, waiters: waiters, log: log, tracer: tracer, inbound: map[inboundKey]chan struct{}{}, outbound: map[relay.HandoffID]*outboundHandoff{},
-		process: uint64(clk.Now().Wall), transits: relay.NewTransits(),
+		transits: tr,
 	}
 	m.Handle(wire.CallKind_CALL_KIND_GATHER, h.serve)
 	m.Handle(wire.CallKind_CALL_KIND_GATHER_CANCEL, h.serveCancel)
@@ -123,7 +119,7 @@
 	if left := time.Duration(m.GetTimeout() - m.GetAge()); left <= 0 {
 		return nil, fmt.Errorf("the request's time was over %v ago", -left)
 	}
-	m.SentAt, m.Process = int64(now), h.process
+	m.SentAt, m.Process = int64(now), h.transits.process
 	size := proto.Size(m)
 	if !h.budget.Reserve(memory.Messages, size) {
 		return nil, fmt.Errorf("no memory is left for a message of %d bytes", size)
@@ -254,7 +250,7 @@
 	request := call.ToRequest()
 	request.Gather.From = from
 	request.ArrivedAt = arrivedAt
-	request.Delay = h.observeTransit(from, call, arrivedAt)
+	request.Delay = h.transits.observe(from, call.GetProcess(), time.Duration(call.GetSentAt()), arrivedAt)
 	submit := func(key uint64) bool {
 		request.Key = key
 		return h.submit(&relay.Submit{Request: request})
@@ -267,17 +263,6 @@
 	return marshal(wire.FromAnswer(&answer))
 }
 
-// observeTransit returns how much longer than usual a call was on its way, 0 if the peer does not
-// date its calls.
-func (h *handoffs) observeTransit(from string, call *wire.GatherCall, arrivedAt time.Duration) time.Duration {
-	if call.GetProcess() == 0 {
-		return 0
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.transits.Observe(from, call.GetProcess(), time.Duration(call.GetSentAt()), arrivedAt)
-}
-
 // register adds a handoff from a peer and returns the channel that cancels it.
 func (h *handoffs) register(key inboundKey) chan struct{} {
 	h.mu.Lock()
