--- a/cmd/pollentack/status.go
+++ b/cmd/pollentack/status.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"pollentack.example/pollentack/internal/edge/admin"
 	"pollentack.example/pollentack/internal/edge/callerclient"
@@ -13,10 +14,14 @@
 )
 
 type statusCmd struct {
-	Admin []string `arg:"" help:"Operator addresses of hosts, HOST:PORT."`
-	JSON  bool     `help:"Print one JSON array."`
+	Admin []string      `arg:"" help:"Operator addresses of hosts, HOST:PORT."`
+	JSON  bool          `help:"Print one JSON array."`
+	Wait  time.Duration `help:"Longest wait until all hosts answer and agree, as after a note was published."`
 }
 
+// statusPollInterval is the time between two rounds of questions while a status command waits.
+const statusPollInterval = 200 * time.Millisecond
+
 // Run fetches the status of each host and prints all statuses and the differences between
 // them. Exit code 1 means that a host did not answer or that hosts differ.
 func (cmd *statusCmd) Run(stdout io.Writer) error {
@@ -25,16 +30,14 @@
 		return err
 	}
 	defer client.Close()
-	statuses := make([]node.Status, 0, len(cmd.Admin))
-	failed := false
-	for _, address := range cmd.Admin {
-		var s node.Status
-		if err := client.Get(address, admin.PathStatus, &s); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			failed = true
-			continue
-		}
-		statuses = append(statuses, s)
+	deadline := time.Now().Add(cmd.Wait)
+	statuses, failures := cmd.fetch(client)
+	for (len(failures) > 0 || len(differences(statuses)) > 0) && time.Now().Add(statusPollInterval).Before(deadline) {
+		time.Sleep(statusPollInterval)
+		statuses, failures = cmd.fetch(client)
+	}
+	for _, err := range failures {
+		fmt.Fprintln(os.Stderr, err)
 	}
 	if cmd.JSON {
 		if err := printJSON(stdout, statuses); err != nil {
@@ -43,12 +46,26 @@
 	} else {
 		printStatuses(stdout, statuses)
 	}
-	if failed || len(differences(statuses)) > 0 {
+	if len(failures) > 0 || len(differences(statuses)) > 0 {
 		return errFailed
 	}
 	return nil
 }
 
+// fetch returns the statuses of the hosts that answer, and the errors of the others.
+func (cmd *statusCmd) fetch(client *callerclient.Client) (statuses []node.Status, failures []error) {
+	statuses = make([]node.Status, 0, len(cmd.Admin))
+	for _, address := range cmd.Admin {
+		var s node.Status
+		if err := client.Get(address, admin.PathStatus, &s); err != nil {
+			failures = append(failures, err)
+			continue
+		}
+		statuses = append(statuses, s)
+	}
+	return statuses, failures
+}
+
 func printStatuses(w io.Writer, statuses []node.Status) {
 	const row = "%-14s %-16s %6v %9v %-10s %6v %9v %9v %12v\n"
 	fmt.Fprintf(w, row, "HOST", "ZONE", "NOTE", "REJECTED", "STATE", "PEERS", "QUERIES", "REFUSALS", "IN PROGRESS")
