Targets are asked whether they are cold while the store is lost

Cause: a host knows a cold target by its entry alone. Class: a list held on to after the store has gone away.

Change: once the store is lost through all sources for half a second, two hosts ask each target of a service with a cold rate for its health, five times a second each, and tell all peers what they hear.

TestTargetsAreAskedWhileStoreIsLost was written with the new events.

--- a/internal/core/relay/crash.go
+++ b/internal/core/relay/crash.go
@@ -37,10 +37,12 @@
 // CheckID identifies one check of a target.
 type CheckID uint64
 
-// Check asks whether a target still listens at its address.
+// Check asks whether a target still listens at its address, and what it says of itself if HealthPath is
+// not "".
 type Check struct {
-	ID     CheckID
-	Target *catalog.Target
+	ID         CheckID
+	Target     *catalog.Target
+	HealthPath string
 }
 
 // TargetChecked reports the result of a check.
@@ -53,6 +55,8 @@
 	Reached bool
 	// NotMade states that the check was not made.
 	NotMade bool
+	// Cold is how long the target stays cold by its health response, 0 if it is warm or did not say.
+	Cold time.Duration
 }
 
 func (*TargetChecked) event() {}
@@ -195,6 +199,7 @@
 
 func (e *Engine) targetChecked(now clock.Instant, ev *TargetChecked, fx *Effects) {
 	e.reachProbed(now, ev, fx)
+	e.warmthChecked(now, ev, fx)
 	c := e.crash.checks[ev.ID]
 	if c == nil {
 		return
--- a/internal/core/relay/engine.go
+++ b/internal/core/relay/engine.go
@@ -112,6 +112,7 @@
 	timers        timerHeap
 	lastAttemptID AttemptID
 	crash         crashWatch
+	warmth        warmthWatch
 	reach         reach
 	// restricted holds the targets that name a limit, want a pause or are cold. limitTurn numbers
 	// the turn of the hosts that share small limits.
@@ -128,6 +129,7 @@
 		view:     catalog.NewView(),
 		hosts:    max(1, cfg.InitialHosts),
 		targets:  map[string]*target{},
+		warmth:   warmthWatch{checks: map[CheckID]*target{}},
 		services: map[string]*service{},
 		routes:   map[string]*routeState{},
 		requests: map[uint64]*request{},
@@ -170,6 +172,10 @@
 		e.targetChecked(now, ev, fx)
 	case *FactsReceived:
 		e.factsReceived(now, ev, fx)
+	case *StoreContact:
+		e.storeContact(now, ev, fx)
+	case *ColdTold:
+		e.coldTold(now, ev)
 	}
 	fx.Links = append(fx.Links, e.linksWanted...)
 	e.linksWanted = e.linksWanted[:0]
@@ -179,6 +185,7 @@
 func (e *Engine) Advance(now clock.Instant, fx *Effects) {
 	e.tellPeers(now, fx)
 	e.probeReach(now, fx)
+	e.askWarmth(now, fx)
 	for {
 		r, ok := e.timers.popDue(now.Mono)
 		if !ok {
@@ -200,6 +207,9 @@
 	if probe, probes := e.probeDue(); probes && (e.reach.cutOff || len(e.requests) == 0) && (!ok || probe < due) {
 		due, ok = probe, true
 	}
+	if ask, asks := e.warmthWake(); asks && (!ok || ask < due) {
+		due, ok = ask, true
+	}
 	if len(e.timers) > 0 && (!ok || e.timers[0].due < due) {
 		return e.timers[0].due, true
 	}
@@ -356,6 +366,7 @@
 		}
 	}
 	e.updateLimitShares(now)
+	e.assignWarmth(now)
 }
 
 // defaultConnectionQuota is the quota for a target of a service without a connection limit.
--- a/internal/core/relay/event.go
+++ b/internal/core/relay/event.go
@@ -228,9 +228,10 @@
 	// Handoffs and HandoffCancels are sent to peers.
 	Handoffs       []Handoff
 	HandoffCancels []HandoffCancel
-	// Checks are made of targets, Tells sent to peers.
-	Checks []Check
-	Tells  []Tell
+	// Checks are made of targets, Tells and ColdNews sent to peers.
+	Checks   []Check
+	Tells    []Tell
+	ColdNews []ColdNews
 }
 
 // Reset empties the effects and keeps the allocated memory.
@@ -248,5 +249,7 @@
 	fx.Checks = fx.Checks[:0]
 	clear(fx.Tells)
 	fx.Tells = fx.Tells[:0]
+	clear(fx.ColdNews)
+	fx.ColdNews = fx.ColdNews[:0]
 	fx.Links = fx.Links[:0]
 }
--- a/internal/core/relay/simulation_test.go
+++ b/internal/core/relay/simulation_test.go
@@ -42,6 +42,10 @@
 	handoffs  []Handoff
 	cancels   []Cancel
 	tells     []Tell
+	checks    []Check
+	coldNews  []ColdNews
+	// coldFor is how long targets stay cold by their health responses.
+	coldFor map[string]time.Duration
 	// refusing holds the instances whose hosts refuse connections to a check.
 	refusing map[string]bool
 	// restarts holds when targets that crashed listen again, by instance.
@@ -161,8 +165,10 @@
 	}
 	sim.cancels = append(sim.cancels, sim.fx.Cancels...)
 	sim.tells = append(sim.tells, sim.fx.Tells...)
+	sim.coldNews = append(sim.coldNews, sim.fx.ColdNews...)
 	for _, c := range sim.fx.Checks {
-		sim.after(time.Millisecond, &TargetChecked{ID: c.ID, Refused: sim.refusing[c.Target.Instance], Reached: !sim.refusing[c.Target.Instance]})
+		sim.checks = append(sim.checks, c)
+		sim.after(time.Millisecond, &TargetChecked{ID: c.ID, Cold: sim.coldFor[c.Target.Instance], Refused: sim.refusing[c.Target.Instance], Reached: !sim.refusing[c.Target.Instance]})
 	}
 	for _, a := range sim.fx.Answers {
 		if _, duplicate := sim.answers[a.Key]; duplicate {
--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -43,6 +43,10 @@
 	AppendRequest(buf []byte, s *relay.Send, remaining time.Duration, traceParent string) []byte
 	// Correlate reports which request the reply belongs to.
 	Correlate(s *relay.Send, reply *http.Response) Correlation
+	// AppendHealthCheck appends an encoded health check of a target to buf. DecodeHealth returns how long
+	// the target stays cold by its response, and false if that is not one of this target's.
+	AppendHealthCheck(buf []byte, t *catalog.Target, path string) []byte
+	DecodeHealth(t *catalog.Target, reply *http.Response) (cold time.Duration, ok bool)
 	// DecodeReply converts a complete reply and determines its outcome.
 	DecodeReply(s *relay.Send, reply *http.Response, body []byte) *relay.AttemptEnded
 }
--- a/internal/edge/upstream/upstream_test.go
+++ b/internal/edge/upstream/upstream_test.go
@@ -24,6 +24,12 @@
 	return fmt.Appendf(buf, "GET / HTTP/1.1\r\nHost: t\r\nId: %s\r\n\r\n", s.Request.ID)
 }
 
+func (testCodec) AppendHealthCheck(buf []byte, _ *catalog.Target, path string) []byte {
+	return append(buf, "GET "+path+" HTTP/1.1\r\nId: health\r\n\r\n"...)
+}
+
+func (testCodec) DecodeHealth(*catalog.Target, *http.Response) (time.Duration, bool) { return 0, true }
+
 func (testCodec) Correlate(s *relay.Send, reply *http.Response) Correlation {
 	switch reply.Header.Get("Id") {
 	case s.Request.ID:
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -51,8 +51,11 @@
 	calls    *ring.Ring[*discovery.Call]
 	store    Store
 	onView   func(*catalog.View)
-	record   func(*decision.Record)
-	view     atomic.Pointer[catalog.View]
+	// onContact is called when this host has lost contact with the store, or has it again.
+	onContact   func(lost bool)
+	contactLost bool
+	record      func(*decision.Record)
+	view        atomic.Pointer[catalog.View]
 	// catalog serves the items to the peers that follow this host. mesh calls the peers that
 	// this host follows, and decode decodes their items.
 	catalog   *catalogServer
@@ -99,6 +102,10 @@
 		d.record(&fx.Records[i])
 	}
 	d.catalog.update(fx.AppliedItems, fx.Progress)
+	if fx.Progress != nil && fx.Progress.Fresh == d.contactLost {
+		d.contactLost = !fx.Progress.Fresh
+		d.onContact(d.contactLost)
+	}
 	if fx.View != nil {
 		d.view.Store(fx.View)
 		d.onView(fx.View)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,6 +138,8 @@
 	g.discovery.decode = o.DecodeItem
 	g.fleet.mesh.Handle(wire.CallKind_CALL_KIND_CATALOG, g.discovery.catalog.serve)
 	g.discovery.onView = g.applyView
+	// If the ring is full, the targets' entries are relied on.
+	g.discovery.onContact = func(lost bool) { g.relay.put(&relay.StoreContact{Lost: lost}) }
 	g.discovery.record = g.logDecision
 	if g.ingress, err = ingress.Start(g.settings.Listen.Front, o.Codec, g.budget, g.waiters, g.relay.submit, g.relay.put, g.logDecision, o.Tracer, g.clock); err != nil {
 		return err
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -69,6 +69,7 @@
 	m.Handle(wire.CallKind_CALL_KIND_GATHER, h.serve)
 	m.Handle(wire.CallKind_CALL_KIND_GATHER_CANCEL, h.serveCancel)
 	m.Handle(wire.CallKind_CALL_KIND_CRASHES, h.serveCrashes)
+	m.Handle(wire.CallKind_CALL_KIND_COLD_TARGETS, h.serveCold)
 	return h
 }
 
@@ -225,6 +226,26 @@
 	return nil
 }
 
+// tellCold tells a peer which targets are cold. If the message is lost, the target's other host makes up
+// for it.
+func (h *handoffs) tellCold(n *relay.ColdNews) {
+	if _, err := h.mesh.Call(n.Peer, wire.CallKind_CALL_KIND_COLD_TARGETS, marshal(wire.FromColdNews(n)), tellTimeout); err != nil {
+		h.log.Debug().Str("event", "cold_targets_not_told").Str("peer", n.Peer).Err(err).Send()
+	}
+}
+
+// serveCold handles what a peer has heard of cold targets.
+func (h *handoffs) serveCold(from string, payload []byte) []byte {
+	in := &wire.ColdTargets{}
+	if err := proto.Unmarshal(payload, in); err != nil {
+		h.log.Warn().Str("event", "peer_call_malformed").Str("peer", from).Err(err).Send()
+		return nil
+	}
+	// If the ring is full, the target's other host tells it too.
+	h.put(in.ToEvent())
+	return nil
+}
+
 // linkTimeout bounds the time to make a link ahead of the first handoff.
 const linkTimeout = 2 * time.Second
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -172,6 +172,11 @@
 		// If the ring has no room, the message is lost as one on the network may be.
 		r.dispatch(job{tell: &x})
 	}
+	for i := range fx.ColdNews {
+		x := fx.ColdNews[i]
+		// If the ring has no room, the peer hears of it from the target's other host.
+		r.dispatch(job{cold: &x})
+	}
 	for i := range fx.HandoffCancels {
 		r.cancelHandoff(fx.HandoffCancels[i])
 	}
@@ -198,6 +203,7 @@
 	link  string
 	check *relay.Check
 	tell  *relay.Tell
+	cold  *relay.ColdNews
 }
 
 // upstreamDuty is the duty that passes the exchanges with targets and peers to workers.
@@ -287,16 +293,16 @@
 		// If all workers are busy, the first handoff makes the link.
 		_ = u.workers.Submit(func() { u.handoffs.link(j.link) })
 	case j.check != nil:
-		err := u.workers.Submit(func() {
-			refused, reached := u.client.Check(j.check.Target)
-			u.report(&relay.TargetChecked{ID: j.check.ID, Refused: refused, Reached: reached})
-		})
+		err := u.workers.Submit(func() { u.report(u.checkTarget(j.check)) })
 		if err != nil {
 			u.report(&relay.TargetChecked{ID: j.check.ID, NotMade: true})
 		}
 	case j.tell != nil:
 		// If all workers are busy, the message is lost as one on the network may be.
 		_ = u.workers.Submit(func() { u.handoffs.tell(j.tell) })
+	case j.cold != nil:
+		// If all workers are busy, the message is lost as one on the network may be.
+		_ = u.workers.Submit(func() { u.handoffs.tellCold(j.cold) })
 	case j.handoffCancel != nil:
 		// If all workers are busy, the peer only does work whose result is not used.
 		_ = u.workers.Submit(func() { u.handoffs.cancel(*j.handoffCancel) })
@@ -305,6 +311,16 @@
 	}
 }
 
+// checkTarget connects to a target, or makes a health check of it.
+func (u *upstreamDuty) checkTarget(c *relay.Check) *relay.TargetChecked {
+	if c.HealthPath == "" {
+		refused, reached := u.client.Check(c.Target)
+		return &relay.TargetChecked{ID: c.ID, Refused: refused, Reached: reached}
+	}
+	cold, refused, err := u.client.Health(c.Target, c.HealthPath)
+	return &relay.TargetChecked{ID: c.ID, Refused: refused, Reached: err == nil, Cold: cold}
+}
+
 // submitAttempt runs an attempt on a worker, which sends it to the target or forwards it to a
 // peer.
 func (u *upstreamDuty) submitAttempt(s *relay.Send) {
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -110,6 +110,24 @@
 	return out
 }
 
+// FromColdNews returns the protobuf message that tells a peer which targets are cold.
+func FromColdNews(n *relay.ColdNews) *ColdTargets {
+	out := &ColdTargets{Targets: make([]*ColdTarget, len(n.Targets))}
+	for i := range n.Targets {
+		out.Targets[i] = &ColdTarget{Instance: n.Targets[i].Instance, Remaining: int64(n.Targets[i].Remaining)}
+	}
+	return out
+}
+
+// ToEvent returns the event for the message from a peer.
+func (x *ColdTargets) ToEvent() *relay.ColdTold {
+	out := &relay.ColdTold{Targets: make([]relay.ColdTarget, len(x.GetTargets()))}
+	for i, t := range x.GetTargets() {
+		out.Targets[i] = relay.ColdTarget{Instance: t.GetInstance(), Remaining: time.Duration(t.GetRemaining())}
+	}
+	return out
+}
+
 func fromCrashIDs(in []quarantine.CrashID) []uint64 {
 	out := make([]uint64, len(in))
 	for i, id := range in {
