--- a/internal/core/relay/warmth.go
+++ b/internal/core/relay/warmth.go
@@ -19,6 +19,8 @@
 	// as if it were warm until it is next asked.
 	warmthCheckers = 2
 	warmthInterval = 200 * time.Millisecond
+	// warmthStep is the least time between two questions of a host.
+	warmthStep = 10 * time.Millisecond
 	// warmthDelay is the time from the loss of the store until targets are asked: another source is
 	// often found at once.
 	warmthDelay = 500 * time.Millisecond
@@ -142,9 +144,14 @@
 	if len(e.warmth.targets) == 0 {
 		return
 	}
-	step := warmthInterval / time.Duration(len(e.warmth.targets))
-	e.warmth.nextAt = max(e.warmth.nextAt, now.Mono-step)
-	for ; e.warmth.nextAt <= now.Mono; e.warmth.nextAt += step {
+	if now.Mono < e.warmth.nextAt {
+		return
+	}
+	// Of many targets, several are asked at a time.
+	count := time.Duration(len(e.warmth.targets))
+	step := max(warmthInterval/count, warmthStep)
+	e.warmth.nextAt = now.Mono + step
+	for range (count*step + warmthInterval - 1) / warmthInterval {
 		t := e.warmth.targets[e.warmth.next%len(e.warmth.targets)]
 		e.warmth.next++
 		if t.removed || now.Mono < t.coldUntil || len(e.warmth.checks) >= maxWarmthChecks {
