The waits on a link end before its session learns of the end

Cause: the deadlines were set as the session closed its connection, after it had woken the waits. The thread that does both may be preempted in between, and then waits behind hundreds that spin for a time slice each.

Change: they are set before, when a read or write of the connection fails and when this host closes the link. What remains is a session that ends itself after a keep-alive without an answer.

--- a/internal/edge/mesh/frameconn.go
+++ b/internal/edge/mesh/frameconn.go
@@ -40,7 +40,16 @@
 	return &frameConn{Conn: conn, waits: &streamWaits{streams: map[*yamux.Stream]struct{}{}}}
 }
 
-// Close implements net.Conn. A session that ends for any reason closes its connection.
+// Read implements net.Conn. The waits end before the session learns of an error.
+func (c *frameConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		c.waits.end()
+	}
+	return n, err
+}
+
+// Close implements net.Conn. A session that ends for any other reason closes its connection.
 func (c *frameConn) Close() error {
 	c.waits.end()
 	return c.Conn.Close()
@@ -48,6 +57,14 @@
 
 // Write implements net.Conn. Data that is held back counts as written.
 func (c *frameConn) Write(b []byte) (int, error) {
+	n, err := c.write(b)
+	if err != nil {
+		c.waits.end()
+	}
+	return n, err
+}
+
+func (c *frameConn) write(b []byte) (int, error) {
 	if !c.bodyFollows && len(b) == frameHeaderBytes {
 		flags := binary.BigEndian.Uint16(b[frameFlagsOffset:])
 		c.bodyFollows = b[frameTypeOffset] == frameTypeData && binary.BigEndian.Uint32(b[frameLengthOffset:]) > 0
--- a/internal/edge/mesh/link.go
+++ b/internal/edge/mesh/link.go
@@ -128,6 +128,7 @@
 func (l *link) close() {
 	l.closeOnce.Do(func() {
 		l.outbox.Close()
+		l.streams.waits.end()
 		_ = l.session.Close()
 	})
 }
