No request is sent with less than a millisecond left

Cause: a request was sent as long as any time was left, and names it in whole milliseconds; a target may take 0 for none. Change: with less than a millisecond left it counts as not sent.

Evidence: TestNoRequestIsSentWithoutTime failed before ("outcome answered with less than a millisecond left").

--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -30,6 +30,9 @@
 	// maxRepliesPerRequest is how many replies are read until one belongs to the request;
 	// replies to earlier requests on the connection are skipped.
 	maxRepliesPerRequest = 3
+	// minRemaining is the least time with which a request is sent: targets are given whole
+	// milliseconds.
+	minRemaining = time.Millisecond
 	// replyGrace is how long after the deadline the client still waits for a reply. The
 	// target receives the deadline and ends the request by itself; reading its reply lets the
 	// connection be reused.
@@ -180,7 +183,7 @@
 
 func (c *Client) do(s *relay.Send, traceParent string) *relay.AttemptEnded {
 	remaining := s.Deadline - c.clock.Now().Mono
-	if remaining <= 0 {
+	if remaining < minRemaining {
 		return noResponse(relay.Unsent, "deadline exceeded before the request was sent")
 	}
 	conn := c.pool.take(poolKeyOf(s.Target), s.Request.ID)
@@ -199,7 +202,7 @@
 		return noResponse(relay.Unsent, "cancelled before the request was sent")
 	}
 	remaining = s.Deadline - c.clock.Now().Mono
-	if remaining <= 0 {
+	if remaining < minRemaining {
 		c.detach(s.Attempt)
 		c.pool.put(poolKeyOf(s.Target), conn)
 		return noResponse(relay.Unsent, "deadline exceeded before the request was sent")
--- a/internal/edge/upstream/upstream_test.go
+++ b/internal/edge/upstream/upstream_test.go
@@ -134,6 +134,17 @@
 // testReplyBytes is the memory for the replies in progress of a fixture's client.
 const testReplyBytes = 12 << 20
 
+// TestNoRequestIsSentWithoutTime guards against requests that name a remaining time of 0 ms, less than the
+// millisecond that was left.
+func TestNoRequestIsSentWithoutTime(t *testing.T) {
+	f := newFixture(t, func(c net.Conn, id string, _ int) error { return ok(c, id, "x") })
+	for range 50 {
+		if got := f.do("a", 900*time.Microsecond); got.Outcome != relay.Unsent {
+			t.Fatalf("outcome %v (%s) with less than a millisecond left, want %v", got.Outcome, got.Reason, relay.Unsent)
+		}
+	}
+}
+
 // TestConnectionReusedAfterExchangeDeadline lets the deadline of the first exchange pass while
 // its connection is idle. The deadline left on the connection must not prevent its reuse.
 func TestConnectionReusedAfterExchangeDeadline(t *testing.T) {
