TestFirstExample takes ports that no other listener gets

Cause: in the test. Change: it takes its ports as the soak does, below the range of outgoing connections and no one twice. What it checks is the same.

--- a/cmd/pollentack/demo_test.go
+++ b/cmd/pollentack/demo_test.go
@@ -58,9 +58,7 @@
 				continue
 			}
 			if ports[address] == "" {
-				if ports[address], err = testbed.FreeAddress(); err != nil {
-					t.Fatal(err)
-				}
+				ports[address] = loopbackAddress(freePortRange(t, 1))
 			}
 			lines[i] = key + ports[address]
 		}
