A handoff without services is refused, not a panic of the relay

What callers saw: nothing yet. One message of a peer, a handoff for a whole request that names no service, ended the process, and with it all requests of the host; its sender would try the next peer with the same message.

Cause: the relay takes the first service of such a handoff without looking whether there is one. Class: a malformed message takes a whole process down. Hosts of this version always name one; a message of another version or a damaged one need not.

Change: a handoff without services is refused as a bad request, which says that nothing has run, before it has a route.

--- a/internal/core/relay/submit.go
+++ b/internal/core/relay/submit.go
@@ -90,6 +90,9 @@
 	}
 	route := e.view.Config.Match(rq.Host, rq.Path)
 	if rq.Gather != nil {
+		if len(rq.Gather.Services) == 0 {
+			return nil, result.BadRequest
+		}
 		route = rq.Gather.route()
 	}
 	switch {
