Handoffs between hosts carry any bytes of callers and targets

What callers saw: a query whose target, request id or a header field holds bytes that are no UTF-8, as the field "Café" in Latin-1, got a 504 at the end of its time wherever a peer gathers for the host: shards without a target near by, hosts that are no hub, a host that is cut off from its targets. The same request was served where no peer takes part.

Cause: these fields are strings of proto3, which encode only as UTF-8. Encoding failed, the peer got an empty message instead, took it for a request whose time is over, and each such handoff used up an attempt of its shards. Class: an error turned into a zero.

Change: what comes from a caller or a target is of type bytes, which has the same encoding, so that hosts of both versions understand each other.

The mesh messages of the JSON front end hold names of settings and of notes only.

--- a/internal/gateway/catalog.go
+++ b/internal/gateway/catalog.go
@@ -149,7 +149,8 @@
 }
 
 // marshal encodes a message that this package has built. It fails only if a text field is not
-// valid UTF-8. It then returns nil, and the peer receives an empty message.
+// valid UTF-8, as no name in settings and published items is. It then returns nil, and the peer
+// receives an empty message.
 func marshal(m proto.Message) []byte {
 	out, err := proto.Marshal(m)
 	if err != nil {
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -121,12 +121,16 @@
 		return nil, fmt.Errorf("the request's time was over %v ago", -left)
 	}
 	m.SentAt, m.Process = int64(now), h.transits.process
-	size := proto.Size(m)
+	payload, err := proto.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode the handoff of request %q: %w", m.GetId(), err)
+	}
+	size := len(payload)
 	if !h.budget.Reserve(memory.Messages, size) {
 		return nil, fmt.Errorf("no memory is left for a message of %d bytes", size)
 	}
 	o.reserved = size
-	return marshal(m), nil
+	return payload, nil
 }
 
 // call sends a gather call to a peer and waits for the reply.
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -58,13 +58,11 @@
 func FromHandoff(h *relay.Handoff) *GatherCall {
 	r, g := h.Request, &h.Gather
 	call := &GatherCall{
-		Handoff: uint64(h.ID), Id: r.ID, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body, TraceParent: r.TraceParent,
+		Handoff: uint64(h.ID), Id: []byte(r.ID), Method: []byte(r.Method), Host: []byte(r.Host), Target: []byte(r.Target), Body: r.Body, TraceParent: r.TraceParent,
 		Route: g.Route, Services: g.Services, TopK: uint32(g.TopK), MaxAttempts: uint32(g.MaxAttempts),
 		Objective: int64(g.Objective), Timeout: int64(g.Timeout), Age: int64(g.Age), Regions: g.Regions, Direct: g.Direct, Whole: g.Whole, Repeat: g.Repeat, SenderRepeats: g.SenderRepeats,
 	}
-	for _, f := range r.Headers {
-		call.Headers = append(call.Headers, &HeaderField{Name: f.Name, Value: f.Value})
-	}
+	call.Headers = fromHeaders(r.Headers)
 	return call
 }
 
@@ -72,19 +70,33 @@
 // Key.
 func (x *GatherCall) ToRequest() *relay.Request {
 	r := &relay.Request{
-		ID: x.GetId(), Method: x.GetMethod(), Host: x.GetHost(), Target: x.GetTarget(), Body: x.GetBody(), TraceParent: x.GetTraceParent(),
+		ID: string(x.GetId()), Method: string(x.GetMethod()), Host: string(x.GetHost()), Target: string(x.GetTarget()), Body: x.GetBody(), TraceParent: x.GetTraceParent(),
 		Gather: &relay.GatherSpec{
 			Route: x.GetRoute(), Services: x.GetServices(), TopK: int(x.GetTopK()), MaxAttempts: int(x.GetMaxAttempts()), Whole: x.GetWhole(),
 			Objective: time.Duration(x.GetObjective()), Timeout: time.Duration(x.GetTimeout()),
 			Age: time.Duration(x.GetAge()), Regions: x.GetRegions(), Direct: x.GetDirect(), Repeat: x.GetRepeat(), SenderRepeats: x.GetSenderRepeats(),
 		},
 	}
-	for _, f := range x.GetHeaders() {
-		r.Headers = append(r.Headers, relay.Header{Name: f.GetName(), Value: f.GetValue()})
-	}
+	r.Headers = toHeaders(x.GetHeaders())
 	return r
 }
 
+func fromHeaders(in []relay.Header) []*HeaderField {
+	out := make([]*HeaderField, len(in))
+	for i, f := range in {
+		out[i] = &HeaderField{Name: []byte(f.Name), Value: []byte(f.Value)}
+	}
+	return out
+}
+
+func toHeaders(in []*HeaderField) []relay.Header {
+	out := make([]relay.Header, len(in))
+	for i, f := range in {
+		out[i] = relay.Header{Name: string(f.GetName()), Value: string(f.GetValue())}
+	}
+	return out
+}
+
 // FromTell returns the protobuf message for what a host tells a peer about crashes.
 func FromTell(t *relay.Tell) *CrashFacts {
 	out := &CrashFacts{Facts: make([]*CrashFact, len(t.Facts)), Ask: t.Ask}
@@ -149,13 +161,11 @@
 	out := &GatherReply{Code: int32(a.Code), Body: a.Body, Spent: int64(a.Elapsed)}
 	if a.Response != nil {
 		out.Status, out.Body = uint32(a.Response.Status), a.Response.Body
-		out.Parts = []*GatheredPart{{Proof: a.Response.Proof}}
-		for _, f := range a.Response.Headers {
-			out.Headers = append(out.Headers, &HeaderField{Name: f.Name, Value: f.Value})
-		}
+		out.Parts = []*GatheredPart{{Proof: []byte(a.Response.Proof)}}
+		out.Headers = fromHeaders(a.Response.Headers)
 	}
 	for _, p := range a.Parts {
-		out.Parts = append(out.Parts, &GatheredPart{Shard: uint32(p.Shard), Proof: p.Proof})
+		out.Parts = append(out.Parts, &GatheredPart{Shard: uint32(p.Shard), Proof: []byte(p.Proof)})
 	}
 	return out
 }
@@ -164,15 +174,12 @@
 // caller reads the time that the peer took from Spent.
 func (x *GatherReply) ToAnswer() *relay.Answer {
 	if x.GetStatus() > 0 && len(x.GetParts()) == 1 {
-		reply := &relay.Response{Status: int(x.GetStatus()), Body: x.GetBody(), Proof: x.GetParts()[0].GetProof()}
-		for _, f := range x.GetHeaders() {
-			reply.Headers = append(reply.Headers, relay.Header{Name: f.GetName(), Value: f.GetValue()})
-		}
+		reply := &relay.Response{Status: int(x.GetStatus()), Body: x.GetBody(), Proof: string(x.GetParts()[0].GetProof()), Headers: toHeaders(x.GetHeaders())}
 		return &relay.Answer{Code: result.Code(x.GetCode()), Response: reply}
 	}
 	a := &relay.Answer{Code: result.Code(x.GetCode()), Gathered: true, Body: x.GetBody()}
 	for _, p := range x.GetParts() {
-		a.Parts = append(a.Parts, relay.Part{Shard: int(p.GetShard()), Proof: p.GetProof()})
+		a.Parts = append(a.Parts, relay.Part{Shard: int(p.GetShard()), Proof: string(p.GetProof())})
 	}
 	return a
 }
