A store that replies at once is not watched without a pause

What callers saw: nothing yet. A store that replies to each watch at once without changes is called again at once, by the host of each availability zone that calls it: a thousand calls a second at a round trip of a millisecond. That takes a small host's processor and the calls that all hosts share.

Cause: the pause before the next watch depends on changes only; one without changes is taken for one that has waited. Class: a loop whose only pause is the other side's.

Change: two watches that may wait begin at least 200 ms apart, the pause after changes. A watch that has waited longer is followed at once, as before, and one that is to answer at once, after a failed call, is not delayed.

Evidence: TestStoreThatRepliesAtOnceIsNotCalledWithoutPause failed before ("1000 watches in a second, want at most 6").

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -48,6 +48,9 @@
 	// changes costs few calls. The list after HistoryGone is delayed by as much. It is far
 	// below any bound on applying a change.
 	coalesceDelay = 200 * time.Millisecond
+	// minWatchInterval is the least time between two watches of the store that may wait, for a store
+	// that replies at once without changes.
+	minWatchInterval = coalesceDelay
 	// maxCoalesceDelay bounds the delay before the next watch of the store, which doubles with
 	// each reply that has changes and starts again after one without. Releases, and leafs that
 	// register after a loss of power, change the store many times a second for a while. The delay
@@ -156,6 +159,8 @@
 	nextCallAt     time.Duration
 	callInProgress bool
 	callStartedAt  time.Duration
+	// callWait is how long the last call might wait.
+	callWait time.Duration
 	// contactAt is when the store last answered the host at the end of the chain of sources that
 	// this host follows: a peer's reply is as old as the peer's own contact.
 	contactAt time.Duration
@@ -476,7 +481,7 @@
 	fx.Progress.Path = ev.Path
 	f.nextCallAt = now.Mono
 	if f.current == storeSource || !ev.isPartial() {
-		f.nextCallAt += f.coalesce(len(ev.Items) > 0)
+		f.nextCallAt += f.coalesce(now, len(ev.Items) > 0)
 	}
 	f.sourceVerified = !stale
 }
@@ -535,7 +540,7 @@
 }
 
 // coalesce returns the delay before the next watch of the current source.
-func (f *Follower) coalesce(changed bool) time.Duration {
+func (f *Follower) coalesce(now clock.Instant, changed bool) time.Duration {
 	switch {
 	case f.current != storeSource && changed:
 		return coalesceDelay
@@ -543,7 +548,10 @@
 		return 0
 	case !changed:
 		f.storeCoalesceDelay = 0
-		return 0
+		if f.callWait == 0 {
+			return 0
+		}
+		return max(0, f.callStartedAt+minWatchInterval-now.Mono)
 	}
 	f.storeCoalesceDelay = min(max(coalesceDelay, 2*f.storeCoalesceDelay), maxCoalesceDelay, f.contactLimit/2)
 	return f.storeCoalesceDelay
--- a/internal/core/discovery/propagation_test.go
+++ b/internal/core/discovery/propagation_test.go
@@ -46,3 +46,20 @@
 		}
 	}
 }
+
+// TestStoreThatRepliesAtOnceIsNotCalledWithoutPause guards against a host that uses up its processor,
+// and the calls of all hosts, at a store that replies to each watch at once without changes.
+func TestStoreThatRepliesAtOnceIsNotCalledWithoutPause(t *testing.T) {
+	const roundTrip, maxPerSecond = time.Millisecond, 5
+	h := newListedHarness(t)
+	calls := 0
+	for begin := h.now.Mono; h.now.Mono < begin+time.Second; h.advance(roundTrip) {
+		if h.f.callInProgress {
+			calls++
+			h.step(&Changes{Revision: 10})
+		}
+	}
+	if calls > maxPerSecond+1 {
+		t.Errorf("%d watches in a second, want at most %d", calls, maxPerSecond+1)
+	}
+}
--- a/internal/core/discovery/source.go
+++ b/internal/core/discovery/source.go
@@ -65,10 +65,12 @@
 	}
 	f.current, f.sourceSelected = source, true
 	if source == storeSource && f.phase == listing {
+		f.callWait = 0
 		fx.Call = &Call{AfterKey: f.afterKey, Timeout: storeReplyMargin}
 		return
 	}
 	wait, margin := f.watchTimes(now)
+	f.callWait = wait
 	fx.Call = &Call{Peer: source, Watch: true, Era: f.view.Era, AfterRevision: f.view.Revision, Wait: wait, Timeout: wait + margin}
 }
 
