A panic of a worker is reported to the core that waits for it

What callers saw: nothing yet. A panic on a worker, in a handoff, a forwarded attempt, a check of a target or a call of the JSON front end, ends only that job, but its core never hears of the end: the attempt stays open with its share of the target's connections, a request waits for it until its deadline, and a check that is never over ends all later checks of a host that is cut off.

Cause: the worker pool recovers by itself, prints a line that is no JSON, and tells nobody. Class: a duty waits for an event that nobody owes any more.

Change: a job that panics reports its end as lost, or as not made for a check, so that nothing is claimed that is not known. The memory of a message to a peer is returned too.

--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -111,7 +111,7 @@
 
 // TestWorkersRefuseWhenBusy checks that Submit fails at once while all workers are busy.
 func TestWorkersRefuseWhenBusy(t *testing.T) {
-	w, err := NewWorkers(2)
+	w, err := NewWorkers(2, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/duty/workers.go
+++ b/internal/duty/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime/debug"
 
 	"github.com/panjf2000/ants/v2"
 )
@@ -11,9 +12,15 @@
 	pool *ants.Pool
 }
 
-// NewWorkers returns Workers that run at most capacity jobs at a time.
-func NewWorkers(capacity int) (*Workers, error) {
-	pool, err := ants.NewPool(capacity, ants.WithNonblocking(true))
+// NewWorkers returns Workers that run at most capacity jobs at a time. A panic ends only its job; onPanic
+// receives it with its stack, on the goroutine that panicked. If onPanic is nil, it is written to standard
+// error.
+func NewWorkers(capacity int, onPanic func(error)) (*Workers, error) {
+	options := []ants.Option{ants.WithNonblocking(true)}
+	if onPanic != nil {
+		options = append(options, ants.WithPanicHandler(func(v any) { onPanic(fmt.Errorf("panic in a job: %v\n%s", v, debug.Stack())) }))
+	}
+	pool, err := ants.NewPool(capacity, options...)
 	if err != nil {
 		return nil, fmt.Errorf("pool of %d workers: %w", capacity, err)
 	}
--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -91,6 +91,9 @@
 	// dated. Observe receives the same of a peer, as soon as its hello has arrived.
 	Stamp   func() (process uint64, sentAt time.Duration)
 	Observe func(peer string, process uint64, sentAt time.Duration)
+	// OnPanic receives the panics that ended the work for a link or a call, with their stacks; nil writes
+	// them to standard error.
+	OnPanic func(error)
 	// Insecure accepts any host without certificates, for a network that only the system's
 	// hosts can reach. Host names are learned from hellos. Heartbeats are optional, so dead
 	// links are detected by the keep-alive of the sessions.
@@ -190,10 +193,10 @@
 
 func (m *Mesh) startDuties() error {
 	var err error
-	if m.linkWorkers, err = duty.NewWorkers(maxLinks * workersPerLink); err != nil {
+	if m.linkWorkers, err = duty.NewWorkers(maxLinks*workersPerLink, m.options.OnPanic); err != nil {
 		return err
 	}
-	if m.callWorkers, err = duty.NewWorkers(maxIncomingCalls); err != nil {
+	if m.callWorkers, err = duty.NewWorkers(maxIncomingCalls, m.options.OnPanic); err != nil {
 		return err
 	}
 	if m.duties, err = duty.NewGroup(2, m.logDutyPanic); err != nil {
--- a/internal/edge/mesh/mesh_test.go
+++ b/internal/edge/mesh/mesh_test.go
@@ -253,7 +253,7 @@
 	hosts := []release.Host{a.host(), b.host()}
 	a.SetHosts(hosts, nil)
 	b.SetHosts(hosts, nil)
-	workers, err := duty.NewWorkers(2)
+	workers, err := duty.NewWorkers(2, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/experiment/clients.go
+++ b/internal/experiment/clients.go
@@ -11,7 +11,7 @@
 // seed. Unless it fails, its caller must call wait, which blocks until all clients have
 // returned.
 func startClients(n int, seed uint64, client func(rng *rand.Rand, i int)) (wait func(), err error) {
-	workers, err := duty.NewWorkers(n)
+	workers, err := duty.NewWorkers(n, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/experiment/cold.go
+++ b/internal/experiment/cold.go
@@ -175,7 +175,7 @@
 
 // startLoad starts the load in the background; wait blocks until it ends.
 func startLoad(c *loadgen.Config) (wait func() (*loadgen.Report, error), err error) {
-	worker, err := duty.NewWorkers(1)
+	worker, err := duty.NewWorkers(1, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -64,8 +64,8 @@
 	decode    func(key string, value []byte, revision uint64, deleted bool) discovery.Item
 }
 
-func newDiscoveryDuty(s *Settings, store Store, clk sysclock.Clock, seed uint64, log zerolog.Logger) (*discoveryDuty, error) {
-	peerCalls, err := duty.NewWorkers(maxPeerCalls)
+func newDiscoveryDuty(s *Settings, store Store, clk sysclock.Clock, seed uint64, log zerolog.Logger, onPanic func(error)) (*discoveryDuty, error) {
+	peerCalls, err := duty.NewWorkers(maxPeerCalls, onPanic)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -74,7 +74,7 @@
 	hosts := []release.Host{{Name: "a", MeshAddress: a.Address()}, {Name: "b", MeshAddress: b.Address()}}
 	a.SetHosts(hosts, nil)
 	b.SetHosts(hosts, nil)
-	d, err := newDiscoveryDuty(&Settings{Host: "a"}, nil, sysclock.New(), 1, zerolog.Nop())
+	d, err := newDiscoveryDuty(&Settings{Host: "a"}, nil, sysclock.New(), 1, zerolog.Nop(), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -46,7 +46,7 @@
 	table atomic.Pointer[fleet.Snapshot]
 }
 
-func newFleetDuty(s *Settings, clk sysclock.Clock, seed uint64, log zerolog.Logger, tr *transits, dial mesh.DialFunc) (*fleetDuty, error) {
+func newFleetDuty(s *Settings, clk sysclock.Clock, seed uint64, log zerolog.Logger, tr *transits, dial mesh.DialFunc, onPanic func(error)) (*fleetDuty, error) {
 	started := uint64(clk.Now().Wall)
 	f := &fleetDuty{
 		clock:     clk,
@@ -58,7 +58,7 @@
 	f.mesh, err = mesh.Start(mesh.Options{
 		Host: s.Host, Zone: s.Zone, Incarnation: membership.Incarnation{Started: started, Nonce: seed},
 		Listen: s.Listen.Mesh, Insecure: true, Log: log, Emit: f.ignoreLinkEvent, ObserveRTT: f.observeRoundTrip, Dial: dial,
-		Stamp: tr.stamp, Observe: tr.observeHello,
+		OnPanic: onPanic, Stamp: tr.stamp, Observe: tr.observeHello,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,7 +116,7 @@
 		Host: g.settings.Host, Zone: g.settings.Zone, Region: g.settings.Region, Regions: g.settings.Regions,
 		Retry: g.settings.Retry, Cold: g.settings.Cold, MaxRequests: maxRequests, InitialHosts: assumedHosts, Seed: seed,
 	}, g.clock)
-	if g.upstream, err = newUpstreamDuty(g.client, g.clock, g.relay.put); err != nil {
+	if g.upstream, err = newUpstreamDuty(g.client, g.clock, g.relay.put, g.panics.Report); err != nil {
 		return err
 	}
 	g.upstream.observeLatency = g.latency.observeAttempt
@@ -124,7 +124,7 @@
 	g.relay.cancel, g.relay.cancelUnsent = g.client.Cancel, g.client.CancelUnsent
 	g.relay.record = g.logDecision
 	measured := newTransits(g.clock)
-	if g.fleet, err = newFleetDuty(g.settings, g.clock, seed, g.log, measured, o.Dial); err != nil {
+	if g.fleet, err = newFleetDuty(g.settings, g.clock, seed, g.log, measured, o.Dial, g.panics.Report); err != nil {
 		return err
 	}
 	g.fleet.record = g.logDecision
@@ -134,7 +134,7 @@
 	g.fleet.onRoundTrip = func(zone string, took time.Duration) { g.relay.put(&relay.RTTMeasured{Zone: zone, RTT: took}) }
 	g.upstream.handoffs = newHandoffs(g.clock, measured, g.fleet.mesh, g.relay, g.waiters, g.budget, g.log, o.Tracer)
 	g.relay.withdraw = g.upstream.handoffs.withdraw
-	if g.discovery, err = newDiscoveryDuty(g.settings, o.Store, g.clock, seed, g.log); err != nil {
+	if g.discovery, err = newDiscoveryDuty(g.settings, o.Store, g.clock, seed, g.log, g.panics.Report); err != nil {
 		return err
 	}
 	g.discovery.mesh = g.fleet.mesh
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -141,8 +141,8 @@
 	defer h.unregisterOutbound(x.ID)
 	o.message = wire.FromHandoff(x)
 	o.message.TraceParent = span.TraceParent()
+	defer func() { h.budget.Release(memory.Messages, o.reserved) }()
 	payload, err := h.mesh.CallPending(x.Peer, wire.CallKind_CALL_KIND_GATHER, o.call, max(0, remaining))
-	h.budget.Release(memory.Messages, o.reserved)
 	out := &wire.GatherReply{}
 	if err == nil {
 		err = proto.Unmarshal(payload, out)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -217,8 +217,8 @@
 	handoffs       *handoffs
 }
 
-func newUpstreamDuty(client *upstream.Client, clk sysclock.Clock, report func(relay.Event) bool) (*upstreamDuty, error) {
-	workers, err := duty.NewWorkers(maxExchanges)
+func newUpstreamDuty(client *upstream.Client, clk sysclock.Clock, report func(relay.Event) bool, onPanic func(error)) (*upstreamDuty, error) {
+	workers, err := duty.NewWorkers(maxExchanges, onPanic)
 	if err != nil {
 		return nil, err
 	}
@@ -285,7 +285,8 @@
 func (u *upstreamDuty) submit(j job) {
 	switch {
 	case j.handoff != nil:
-		if err := u.workers.Submit(func() { u.handoffs.send(j.handoff) }); err != nil {
+		failed := &relay.HandoffEnded{ID: j.handoff.ID, Reason: panicReason}
+		if err := u.runJob(func() { u.handoffs.send(j.handoff) }, failed); err != nil {
 			u.unregister(j)
 			u.report(&relay.HandoffEnded{ID: j.handoff.ID, NotSent: true, Reason: err.Error()})
 		}
@@ -293,9 +294,9 @@
 		// If all workers are busy, the first handoff makes the link.
 		_ = u.workers.Submit(func() { u.handoffs.link(j.link) })
 	case j.check != nil:
-		err := u.workers.Submit(func() { u.report(u.checkTarget(j.check)) })
-		if err != nil {
-			u.report(&relay.TargetChecked{ID: j.check.ID, NotMade: true})
+		failed := &relay.TargetChecked{ID: j.check.ID, NotMade: true}
+		if err := u.runJob(func() { u.report(u.checkTarget(j.check)) }, failed); err != nil {
+			u.report(failed)
 		}
 	case j.tell != nil:
 		// If all workers are busy, the message is lost as one on the network may be.
@@ -311,6 +312,24 @@
 	}
 }
 
+// panicReason is the reason of an end that is reported for a job that panicked.
+const panicReason = "panic on this host"
+
+// runJob runs a job on a worker. If it panics, failed is reported to the relay, which waits for the end of
+// what it has asked for.
+func (u *upstreamDuty) runJob(job func(), failed relay.Event) error {
+	return u.workers.Submit(func() {
+		ended := false
+		defer func() {
+			if !ended {
+				u.report(failed)
+			}
+		}()
+		job()
+		ended = true
+	})
+}
+
 // checkTarget connects to a target, or makes a health check of it.
 func (u *upstreamDuty) checkTarget(c *relay.Check) *relay.TargetChecked {
 	if c.HealthPath == "" {
@@ -324,7 +343,8 @@
 // submitAttempt runs an attempt on a worker, which sends it to the target or forwards it to a
 // peer.
 func (u *upstreamDuty) submitAttempt(s *relay.Send) {
-	err := u.workers.Submit(func() {
+	failed := &relay.AttemptEnded{Attempt: s.Attempt, Outcome: relay.Lost, Reason: panicReason, PeerFailed: s.Via != ""}
+	err := u.runJob(func() {
 		begin := time.Now()
 		if s.Via != "" {
 			u.report(u.handoffs.forwardAttempt(s))
@@ -332,7 +352,7 @@
 			u.report(u.client.Do(s))
 		}
 		u.observeLatency(time.Since(begin))
-	})
+	}, failed)
 	if err != nil {
 		u.unregister(job{send: s})
 		u.report(&relay.AttemptEnded{Attempt: s.Attempt, Outcome: relay.Unsent, Reason: err.Error()})
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -86,7 +86,7 @@
 		return nil, err
 	}
 	defer client.Close()
-	workers, err := duty.NewWorkers(maxInFlight)
+	workers, err := duty.NewWorkers(maxInFlight, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -22,8 +22,8 @@
 }
 
 // newDispatch returns a dispatch with one worker per connection.
-func newDispatch(connections int, client *targetclient.Client, replies func(engine.Event) bool) (*dispatch, error) {
-	workers, err := duty.NewWorkers(connections)
+func newDispatch(connections int, client *targetclient.Client, replies func(engine.Event) bool, onPanic func(error)) (*dispatch, error) {
+	workers, err := duty.NewWorkers(connections, onPanic)
 	if err != nil {
 		return nil, err
 	}
@@ -64,7 +64,13 @@
 		_ = d.workers.Submit(func() { d.client.Cancel(w.cancel) })
 		return
 	}
-	if err := d.workers.Submit(func() { d.replies(d.execute(w)) }); err != nil {
+	err := d.workers.Submit(func() {
+		// If the call panics, its outcome is not known.
+		result := w.lostEvent()
+		defer func() { d.replies(result) }()
+		result = d.execute(w)
+	})
+	if err != nil {
 		d.replies(w.unsentEvent())
 	}
 }
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -55,12 +55,12 @@
 }
 
 // newMembershipDuty starts the mesh of a host. The caller starts the duty.
-func newMembershipDuty(s *settings.Settings, o *Options, clk sysclock.Clock) (*membershipDuty, error) {
+func newMembershipDuty(s *settings.Settings, o *Options, clk sysclock.Clock, onPanic func(error)) (*membershipDuty, error) {
 	incarnation, err := newIncarnation(clk)
 	if err != nil {
 		return nil, err
 	}
-	workers, err := duty.NewWorkers(fetchWorkers)
+	workers, err := duty.NewWorkers(fetchWorkers, onPanic)
 	if err != nil {
 		return nil, err
 	}
@@ -80,6 +80,7 @@
 		return m, nil
 	}
 	m.mesh, err = mesh.Start(mesh.Options{
+		OnPanic:     onPanic,
 		Host:        s.Host.Name,
 		Zone:        s.Host.Zone,
 		Incarnation: incarnation,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,7 +96,7 @@
 	if n.duties, err = duty.NewGroup(maxDuties, n.dutyFailed); err != nil {
 		return err
 	}
-	if n.membership, err = newMembershipDuty(n.settings, &n.options, n.clock); err != nil {
+	if n.membership, err = newMembershipDuty(n.settings, &n.options, n.clock, n.panics.Report); err != nil {
 		return err
 	}
 	if err = n.startQueries(n.membership.peers()); err != nil {
@@ -134,7 +134,7 @@
 	n.once = &oncePeers{peers: peers, clock: n.clock, submit: n.queries.submit, waiters: waiters}
 	n.once.handedOver = func() bool { return n.queries.status.Load().HandedOver }
 	n.tickets = callerapi.NewOnceHandler(n.queries.submit, waiters, n.tracer)
-	if n.dispatch, err = newDispatch(n.settings.Limits.Connections, client, n.queries.put); err != nil {
+	if n.dispatch, err = newDispatch(n.settings.Limits.Connections, client, n.queries.put, n.panics.Report); err != nil {
 		return err
 	}
 	n.dispatch.peers = n.once
--- a/internal/node/queries.go
+++ b/internal/node/queries.go
@@ -52,6 +52,21 @@
 	return &engine.AttemptResult{Attempt: w.send.Attempt, Target: w.send.Target, Outcome: engine.Unsent}
 }
 
+// lostEvent returns the event that reports to the engine that the outcome of w is not known.
+func (w work) lostEvent() engine.Event {
+	switch {
+	case w.run != nil:
+		return &engine.RunResult{Run: w.run.Run, Try: w.run.Try, Target: w.run.Target, Outcome: engine.Lost}
+	case w.forward != nil:
+		return &engine.ForwardDone{Key: w.forward.Key}
+	case w.canary != nil:
+		return &engine.CanaryCallDone{Call: *w.canary}
+	case w.handover != nil:
+		return &engine.HandoverOfferDone{Number: w.handover.Chunk.Number}
+	}
+	return &engine.AttemptResult{Attempt: w.send.Attempt, Target: w.send.Target, Outcome: engine.Lost}
+}
+
 // queries is the duty that owns and steps the engine.
 type queries struct {
 	clock   sysclock.Clock
