A listener without a limit on bodies has one by default

What callers saw: one request to the metrics listener of a gateway that announces a body of terabytes, in its length or in a chunk, ended the process ("fatal error: runtime: out of memory", which no recover catches); one of some hundred megabytes took that much memory.

Cause: that listener set no limit, which hertz takes for none, and hertz makes room for what is announced before it arrives. Class: a zero value taken for no bound.

Change: a server without a limit of its own reads bodies up to 64 KB.

Evidence: found by random changes of requests to all listeners.

--- a/cmd/pollentack/oddrequests_test.go
+++ b/cmd/pollentack/oddrequests_test.go
@@ -15,8 +15,9 @@
 // TestOddRequestTargetsEndNoProcess guards against a request that ends the process: the parser of
 // the HTTP server panics on some request targets, before any handler of this product runs.
 func TestOddRequestTargetsEndNoProcess(t *testing.T) {
-	var requests []string
-	for _, target := range []string{"a:b", "a:", "mailto:a@b", "://", "a://", "*", "http:/", "%zz", "//", "?", "#"} {
+	targets := []string{"a:b", "a:", "mailto:a@b", "://", "a://", "*", "http:/", "%zz", "//", "?", "#"}
+	requests := make([]string, 0, 2*len(targets))
+	for _, target := range targets {
 		for _, version := range []string{"1.0", "1.1"} {
 			requests = append(requests, fmt.Sprintf("GET %s HTTP/%s\r\nConnection: close\r\n\r\n", target, version))
 		}
@@ -24,6 +25,18 @@
 	requireBornByEveryListener(t, requests)
 }
 
+// TestAnnouncedBodiesEndNoProcess guards against a request that ends the process: the HTTP server
+// makes room for the length that a body or a chunk announces, unless the listener bounds it.
+func TestAnnouncedBodiesEndNoProcess(t *testing.T) {
+	const head = "POST /v1/status HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+	requireBornByEveryListener(t, []string{
+		head + "Transfer-Encoding: chunked\r\n\r\n7ffffffffff\r\n",
+		head + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n7fffffffffffffff\r\n",
+		head + "Content-Length: 8796093022207\r\n\r\n",
+		head + "Content-Length: 9223372036854775807\r\n\r\n",
+	})
+}
+
 // requireBornByEveryListener sends requests to each listener of a host of either front end, on a
 // connection each, which must be answered or closed, and then requires the answer to an ordinary one.
 func requireBornByEveryListener(t *testing.T, requests []string) {
--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -18,7 +18,7 @@
 
 // Options configure a server.
 type Options struct {
-	// MaxBodyBytes is the maximum size of a request body.
+	// MaxBodyBytes is the maximum size of a request body; 0 means defaultMaxBodyBytes.
 	MaxBodyBytes int
 	// MaxHeaderBytes is the maximum size of a request header; 0 means the default of hertz.
 	MaxHeaderBytes int
@@ -49,6 +49,10 @@
 }
 
 const (
+	// defaultMaxBodyBytes is far above what a request to a server without an own limit has. hertz takes 0
+	// for no limit, and makes room for what a request announces.
+	defaultMaxBodyBytes = 64 << 10
+
 	readTimeout        = 30 * time.Second
 	defaultIdleTimeout = 90 * time.Second
 	// CloseTimeout is how long Close waits for the requests in progress.
@@ -77,6 +81,9 @@
 	if options.OnPanic == nil {
 		options.OnPanic = func(error) {}
 	}
+	if options.MaxBodyBytes <= 0 {
+		options.MaxBodyBytes = defaultMaxBodyBytes
+	}
 	hertzOptions := []config.Option{
 		server.WithListener(listener),
 		server.WithTransport(recoverConnections(newTransporter(options.Budget, options.Overloaded), options.OnPanic)),
