--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -18,7 +18,7 @@
 
 // Options configure a server.
 type Options struct {
-	// MaxBodyBytes is the maximum size of a request body.
+	// MaxBodyBytes is the maximum size of a request body; 0 means defaultMaxBodyBytes.
 	MaxBodyBytes int
 	// MaxHeaderBytes is the maximum size of a request header; 0 means the default of hertz.
 	MaxHeaderBytes int
@@ -35,6 +35,9 @@
 	// the bytes of a response, after which its connection is closed.
 	Budget     *memory.Budget
 	Overloaded []byte
+	// OnPanic receives the panics that ended a request or a connection, with their stacks; nil ignores
+	// them.
+	OnPanic func(error)
 }
 
 // Server is an HTTP server with one listener.
@@ -46,6 +49,10 @@
 }
 
 const (
+	// defaultMaxBodyBytes is far above what a request to a server without an own limit has. hertz takes 0
+	// for no limit, and makes room for what a request announces.
+	defaultMaxBodyBytes = 64 << 10
+
 	readTimeout        = 30 * time.Second
 	defaultIdleTimeout = 90 * time.Second
 	// CloseTimeout is how long Close waits for the requests in progress.
@@ -71,9 +78,15 @@
 	listener := newListener(socket, options.IdleTimeout)
 	listener.budget = options.Budget
 	silenceHertzLog()
+	if options.OnPanic == nil {
+		options.OnPanic = func(error) {}
+	}
+	if options.MaxBodyBytes <= 0 {
+		options.MaxBodyBytes = defaultMaxBodyBytes
+	}
 	hertzOptions := []config.Option{
 		server.WithListener(listener),
-		server.WithTransport(newTransporter(options.Budget, options.Overloaded)),
+		server.WithTransport(recoverConnections(newTransporter(options.Budget, options.Overloaded), options.OnPanic)),
 		server.WithOnAccept(withAccepted),
 		server.WithMaxRequestBodySize(options.MaxBodyBytes),
 		server.WithMaxKeepBodySize(BlockBytes),
@@ -91,6 +104,7 @@
 	}
 	hertzOptions = append(hertzOptions, server.WithSenseClientDisconnection(options.DetectDisconnect))
 	h := server.New(hertzOptions...)
+	h.PanicHandler = recoverRequest(options.OnPanic)
 	register(h)
 	group, err := duty.NewGroup(1, func(string, error) {})
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"pollentack.example/pollentack/internal/edge/await"
 	"pollentack.example/pollentack/internal/edge/httpd"
 	"pollentack.example/pollentack/internal/edge/ingress"
+	"pollentack.example/pollentack/internal/edge/logs"
 	"pollentack.example/pollentack/internal/edge/memory"
 	"pollentack.example/pollentack/internal/edge/mesh"
 	"pollentack.example/pollentack/internal/edge/sysclock"
@@ -76,6 +77,7 @@
 	ready    *httpd.Server
 	metrics  *admin.Server
 	latency  *latencies
+	panics   *logs.Panics
 	draining atomic.Bool
 	// grace is the current Settings.Grace in nanoseconds.
 	grace    atomic.Int64
@@ -88,6 +90,7 @@
 	g := &Gateway{
 		settings: s, log: o.Log, clock: sysclock.New(), latency: newLatencies(), waiters: await.New[relay.Answer](),
 		failed: make(chan error, maxDuties), budget: memory.NewBudget(s.requestBytes()),
+		panics: logs.NewPanics(o.Log),
 	}
 	if err := g.start(&o); err != nil {
 		return nil, fmt.Errorf("start gateway %q: %w", s.Host, err)
@@ -113,7 +116,7 @@
 		Host: g.settings.Host, Zone: g.settings.Zone, Region: g.settings.Region, Regions: g.settings.Regions,
 		Retry: g.settings.Retry, Cold: g.settings.Cold, MaxRequests: maxRequests, InitialHosts: assumedHosts, Seed: seed,
 	}, g.clock)
-	if g.upstream, err = newUpstreamDuty(g.client, g.clock, g.relay.put); err != nil {
+	if g.upstream, err = newUpstreamDuty(g.client, g.clock, g.relay.put, g.panics.Report); err != nil {
 		return err
 	}
 	g.upstream.observeLatency = g.latency.observeAttempt
@@ -121,7 +124,7 @@
 	g.relay.cancel, g.relay.cancelUnsent = g.client.Cancel, g.client.CancelUnsent
 	g.relay.record = g.logDecision
 	measured := newTransits(g.clock)
-	if g.fleet, err = newFleetDuty(g.settings, g.clock, seed, g.log, measured, o.Dial); err != nil {
+	if g.fleet, err = newFleetDuty(g.settings, g.clock, seed, g.log, measured, o.Dial, g.panics.Report); err != nil {
 		return err
 	}
 	g.fleet.record = g.logDecision
@@ -131,7 +134,7 @@
 	g.fleet.onRoundTrip = func(zone string, took time.Duration) { g.relay.put(&relay.RTTMeasured{Zone: zone, RTT: took}) }
 	g.upstream.handoffs = newHandoffs(g.clock, measured, g.fleet.mesh, g.relay, g.waiters, g.budget, g.log, o.Tracer)
 	g.relay.withdraw = g.upstream.handoffs.withdraw
-	if g.discovery, err = newDiscoveryDuty(g.settings, o.Store, g.clock, seed, g.log); err != nil {
+	if g.discovery, err = newDiscoveryDuty(g.settings, o.Store, g.clock, seed, g.log, g.panics.Report); err != nil {
 		return err
 	}
 	g.discovery.mesh = g.fleet.mesh
@@ -141,14 +144,14 @@
 	// If the ring is full, the targets' entries are relied on.
 	g.discovery.onContact = func(lost bool) { g.relay.put(&relay.StoreContact{Lost: lost}) }
 	g.discovery.record = g.logDecision
-	if g.ingress, err = ingress.Start(g.settings.Listen.Front, o.Codec, g.budget, g.waiters, g.relay.submit, g.relay.put, g.logDecision, o.Tracer, g.clock); err != nil {
+	if g.ingress, err = ingress.Start(g.settings.Listen.Front, o.Codec, g.budget, g.waiters, g.relay.submit, g.relay.put, g.logDecision, g.panics.Report, o.Tracer, g.clock); err != nil {
 		return err
 	}
 	g.relay.deliver = g.deliverAnswer
-	if g.ready, err = ingress.StartReady(g.settings.Listen.Ready, o.Codec, g.isReady); err != nil {
+	if g.ready, err = ingress.StartReady(g.settings.Listen.Ready, o.Codec, g.isReady, g.panics.Report); err != nil {
 		return err
 	}
-	if g.metrics, err = admin.Start(g.settings.Listen.Metrics, httpd.Options{}, g.status, func() {}); err != nil {
+	if g.metrics, err = admin.Start(g.settings.Listen.Metrics, httpd.Options{OnPanic: g.panics.Report}, g.status, func() {}); err != nil {
 		return err
 	}
 	duties := slices.Concat([]duty.Duty{g.upstream.duty(), g.relay.duty()}, g.discovery.duties(), []duty.Duty{g.roster.duty()}, g.fleet.duties())
