Log lines that wait to be written are bounded in bytes

Cause: the queue before standard output is bounded in lines only. While nobody reads the log, or reads it slowly, a few hundred long lines are more than the 284 MB of a host, which ends without a line about it.

AsyncWriter now counts the bytes of the lines that wait or are being written, and drops and counts what goes beyond 4 MB; 4,096 lines of the usual 400 bytes have 1.6 MB. A batch releases its lines once written.

--- a/internal/edge/logs/async.go
+++ b/internal/edge/logs/async.go
@@ -8,26 +8,35 @@
 	"pollentack.example/pollentack/internal/ring"
 )
 
-// asyncBatch is the maximum number of lines in one write.
-const asyncBatch = 64
+const (
+	// asyncBatch is the maximum number of lines in one write.
+	asyncBatch = 64
+	// maxQueuedBytes is the maximum size of all lines that wait or are being written.
+	maxQueuedBytes = 4 << 20
+)
 
 // AsyncWriter is a writer that queues lines for a duty that writes them out, so that a slow
 // reader of the log does not block the threads that log. If the queue is full, lines are
 // dropped and counted.
 type AsyncWriter struct {
-	out     io.Writer
-	lines   *ring.Ring[[]byte]
+	out   io.Writer
+	lines *ring.Ring[[]byte]
+	// bytes is the size of the lines that wait or are being written.
+	bytes   atomic.Int64
 	dropped atomic.Uint64
 }
 
-// NewAsyncWriter returns a writer to out that queues at most capacity lines.
+// NewAsyncWriter returns a writer to out that queues at most capacity lines, of maxQueuedBytes
+// together.
 func NewAsyncWriter(out io.Writer, capacity int) *AsyncWriter {
 	return &AsyncWriter{out: out, lines: ring.New[[]byte]("log", capacity)}
 }
 
 // Write queues a copy of one line. It always reports success, also for a dropped line.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
-	if !a.lines.Put(append([]byte(nil), line...)) {
+	size := int64(len(line))
+	if a.bytes.Add(size) > maxQueuedBytes || !a.lines.Put(append([]byte(nil), line...)) {
+		a.bytes.Add(-size)
 		a.dropped.Add(1)
 	}
 	return len(line), nil
@@ -57,5 +66,7 @@
 		if _, err := a.out.Write(buf); err != nil {
 			a.dropped.Add(uint64(n))
 		}
+		clear(batch)
+		a.bytes.Add(-int64(len(buf)))
 	}
 }
