An empty page with more to follow is not the end of a list

Callers would see: a host that starts knows no configuration and refuses all requests until the operator writes the next one, since the watch that follows tells changes only; a host that lists again removes all targets that it has not listed yet.

Cause: the follower took a page without items for the last one, whatever it says about more.

Such a page is now a failed call: it is logged as store_lost with the key, the same page is asked for again after the usual delay, and what was known stays.

TestEmptyPageIsNotTheEndOfAList before: "listed before: false: call is <nil>, want the list to go on"; now it passes (race detector).

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -9,6 +9,7 @@
 package discovery
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -371,6 +372,10 @@
 // handlePage applies a page of the list. The pages are not one snapshot, so the watch
 // starts at the revision of the first page.
 func (f *Follower) handlePage(now clock.Instant, ev *Page, fx *Effects) {
+	if ev.More && len(ev.Items) == 0 {
+		f.handleFailure(now, &CallFailed{Reason: fmt.Sprintf("page after key %q has no items, although more follow", f.afterKey)}, fx)
+		return
+	}
 	firstPage := f.afterKey == ""
 	switch f.followEra(now, ev.Era, ev.Revision, fx) {
 	case outdatedEra:
@@ -393,7 +398,7 @@
 		f.applyItem(now, &ev.Items[i], fx)
 	}
 	f.nextCallAt = now.Mono
-	if ev.More && len(ev.Items) > 0 {
+	if ev.More {
 		return
 	}
 	f.endList(now, fx)
--- a/internal/core/discovery/discovery_test.go
+++ b/internal/core/discovery/discovery_test.go
@@ -561,3 +561,29 @@
 		}
 	}
 }
+
+// TestEmptyPageIsNotTheEndOfAList guards against a host that takes an empty page for the end of the
+// list although more items follow: it removes all targets that it did not list, and a host that starts
+// never learns the configuration.
+func TestEmptyPageIsNotTheEndOfAList(t *testing.T) {
+	for _, started := range []bool{false, true} {
+		h := newHarness(t)
+		if started {
+			h = newListedHarness(t)
+			h.step(&HistoryGone{})
+			h.advance(coalesceDelay)
+		}
+		h.step(&Page{Revision: 20, More: true})
+		h.advance(time.Minute)
+		if h.fx.Call == nil || h.fx.Call.Watch {
+			t.Fatalf("listed before: %v: call is %+v, want the list to go on", started, h.fx.Call)
+		}
+		if started && h.f.View().Targets["a"] == nil {
+			t.Error("a target was removed although its page has not come")
+		}
+		h.step(&Page{Items: []Item{configItem(3, 7), targetItem(5, "a")}, Revision: 20})
+		if v := h.f.View(); v.Config == nil || v.Targets["a"] == nil {
+			t.Errorf("listed before: %v: view is %+v after the list", started, v)
+		}
+	}
+}
