Metrics tell what a host keeps of the store

Nothing told how many items of the store a host keeps, how many of them it could not read, or how many bytes they have, so that an end by odd entries looked like one by callers or replies.

store_items in the metrics has the count, those deleted, those unreadable and the bytes of keys, values and reasons.

--- a/internal/gateway/catalog.go
+++ b/internal/gateway/catalog.go
@@ -148,6 +148,34 @@
 	return reply, p, c.changed
 }
 
+// StoreItems describes the items of the store that a host keeps.
+type StoreItems struct {
+	Count int `json:"count"`
+	// Deleted is the number of those that are kept as deleted, and Unreadable that of those that could
+	// not be decoded.
+	Deleted    int `json:"deleted"`
+	Unreadable int `json:"unreadable"`
+	// Bytes is the size of all keys, values and reasons why one could not be decoded.
+	Bytes int `json:"bytes"`
+}
+
+// usage returns what the items take.
+func (c *catalogServer) usage() StoreItems {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := StoreItems{Count: len(c.items)}
+	for key, it := range c.items {
+		u.Bytes += len(key) + len(it.Value) + len(it.DecodeError)
+		if it.Deleted {
+			u.Deleted++
+		}
+		if it.DecodeError != "" {
+			u.Unreadable++
+		}
+	}
+	return u
+}
+
 // marshal encodes a message that this package has built. It fails only if a text field is not
 // valid UTF-8. It then returns nil, and the peer receives an empty message.
 func marshal(m proto.Message) []byte {
--- a/internal/gateway/catalog_test.go
+++ b/internal/gateway/catalog_test.go
@@ -30,6 +30,16 @@
 	}
 }
 
+// TestUsageCountsItems checks that the metrics tell what the items of the store take, by which an end
+// for lack of memory can be traced.
+func TestUsageCountsItems(t *testing.T) {
+	c := newCatalogServer("self", sysclock.New(), zerolog.Nop())
+	c.update([]discovery.Item{{Key: "a", Value: []byte("1234")}, {Key: "b", Deleted: true}, {Key: "c", DecodeError: "odd"}}, nil)
+	if got, want := c.usage(), (StoreItems{Count: 3, Deleted: 1, Unreadable: 1, Bytes: 10}); got != want {
+		t.Errorf("usage is %+v, want %+v", got, want)
+	}
+}
+
 // TestHostWithUnansweredCallStopsCountingAsUpToDate guards against followers that learn only with the
 // end of their host's call to the store that it has lost contact.
 func TestHostWithUnansweredCallStopsCountingAsUpToDate(t *testing.T) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -86,6 +86,7 @@
 	ReplyMemory    ReplyMemory    `json:"reply_memory"`
 	StoreCalls     uint64         `json:"store_calls"`
 	StoreFailures  uint64         `json:"store_failures"`
+	StoreItems     StoreItems     `json:"store_items"`
 	Rings          []ring.Stats   `json:"rings"`
 }
 
@@ -101,7 +102,8 @@
 		Memory:         g.budget.Usage(),
 		ReplyMemory:    ReplyMemory{Limit: g.settings.replyBytes(), Used: g.client.ReplyBytes()},
 		StoreCalls:     g.discovery.store.Calls(), StoreFailures: g.discovery.store.FailedCalls(),
-		Rings: []ring.Stats{g.relay.inbox.Stats(), g.upstream.inbox.Stats(), g.discovery.inbox.Stats()},
+		StoreItems: g.discovery.catalog.usage(),
+		Rings:      []ring.Stats{g.relay.inbox.Stats(), g.upstream.inbox.Stats(), g.discovery.inbox.Stats()},
 	}
 	if v.Config != nil {
 		s.ConfigVersion = v.Config.Version
