Evacuated zones are worked out once for all items of a reply

Cause: each evacuation that is applied has the follower look through all items that it keeps, so that a reply costs the product of both.

The items of a page or of a watch are applied first, and the evacuated zones are worked out once after them. A zone that is evacuated and returned within one reply is no longer logged in between.

TestManyEvacuatedZonesAreCheap before: "88530 bytes are allocated for each zone, want at most 10000"; now it passes (race detector).

--- a/internal/core/discovery/apply.go
+++ b/internal/core/discovery/apply.go
@@ -7,10 +7,23 @@
 	"pollentack.example/pollentack/internal/core/decision"
 )
 
-// applyItem applies an item if it is newer than the known item of the same key.
-func (f *Follower) applyItem(now clock.Instant, it *Item, fx *Effects) {
+// applyItems applies the items of a reply. Which zones are evacuated is worked out from all items, so
+// that is done once.
+func (f *Follower) applyItems(now clock.Instant, items []Item, fx *Effects) {
+	zones := false
+	for i := range items {
+		zones = f.applyItem(now, &items[i], fx) && items[i].Kind == ZoneItem || zones
+	}
+	if zones {
+		f.updateZones(fx)
+	}
+}
+
+// applyItem applies an item if it is newer than the known item of the same key, and reports whether
+// it is.
+func (f *Follower) applyItem(now clock.Instant, it *Item, fx *Effects) bool {
 	if it.Kind == OtherItem || it.Revision <= f.items[it.Key].Revision {
-		return
+		return false
 	}
 	known := f.known(it, fx)
 	f.items[it.Key] = known
@@ -24,9 +37,8 @@
 		f.applyConfig(now, it, fx)
 	case TargetItem:
 		f.applyTarget(now, it)
-	case ZoneItem:
-		f.updateZones(fx)
 	}
+	return true
 }
 
 // known returns the item as this host keeps it and passes it on. That of a deleted target keeps what
--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -395,8 +395,8 @@
 	for i := range ev.Items {
 		f.listedItems[itemID{ev.Items[i].Kind, ev.Items[i].Name}] = true
 		f.afterKey = ev.Items[i].Key
-		f.applyItem(now, &ev.Items[i], fx)
 	}
+	f.applyItems(now, ev.Items, fx)
 	f.nextCallAt = now.Mono
 	if ev.More {
 		return
@@ -505,9 +505,7 @@
 	if !f.rebuilding {
 		f.applyKnownSince(now, ev, exists, fx)
 	}
-	for i := range ev.Items {
-		f.applyItem(now, &ev.Items[i], fx)
-	}
+	f.applyItems(now, ev.Items, fx)
 	if f.rebuilding && stale {
 		return
 	}
--- a/internal/core/discovery/discovery_test.go
+++ b/internal/core/discovery/discovery_test.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -587,3 +589,25 @@
 		}
 	}
 }
+
+// TestManyEvacuatedZonesAreCheap guards against a host that works out all evacuated zones again for
+// each one of a reply, and stands still while it does. What it allocates shows how much work that is.
+func TestManyEvacuatedZonesAreCheap(t *testing.T) {
+	const zones, maxBytesPerZone = 2000, 10_000
+	h := newListedHarness(t)
+	changes := &Changes{Revision: 100 + zones}
+	for i := range zones {
+		name := strconv.Itoa(i)
+		changes.Items = append(changes.Items, Item{Key: "z/" + name, Kind: ZoneItem, Name: name, Revision: uint64(100 + i)})
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	h.step(changes)
+	runtime.ReadMemStats(&after)
+	if got := (after.TotalAlloc - before.TotalAlloc) / zones; got > maxBytesPerZone {
+		t.Errorf("%d bytes are allocated for each zone, want at most %d", got, maxBytesPerZone)
+	}
+	if got := len(h.f.View().EvacuatedZones); got != zones {
+		t.Errorf("%d zones are evacuated, want %d", got, zones)
+	}
+}
