--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -9,6 +9,7 @@
 package discovery
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -376,6 +377,10 @@
 // handlePage applies a page of the list. The pages are not one snapshot, so the watch
 // starts at the revision of the first page.
 func (f *Follower) handlePage(now clock.Instant, ev *Page, fx *Effects) {
+	if ev.More && len(ev.Items) == 0 {
+		f.handleFailure(now, &CallFailed{Reason: fmt.Sprintf("page after key %q has no items, although more follow", f.afterKey)}, fx)
+		return
+	}
 	firstPage := f.afterKey == ""
 	switch f.followEra(now, ev.Era, ev.Revision, fx) {
 	case outdatedEra:
@@ -395,10 +400,10 @@
 	for i := range ev.Items {
 		f.listedItems[itemID{ev.Items[i].Kind, ev.Items[i].Name}] = true
 		f.afterKey = ev.Items[i].Key
-		f.applyItem(now, &ev.Items[i], fx)
 	}
+	f.applyItems(now, ev.Items, fx)
 	f.nextCallAt = now.Mono
-	if ev.More && len(ev.Items) > 0 {
+	if ev.More {
 		return
 	}
 	f.endList(now, fx)
@@ -505,9 +510,7 @@
 	if !f.rebuilding {
 		f.applyKnownSince(now, ev, exists, fx)
 	}
-	for i := range ev.Items {
-		f.applyItem(now, &ev.Items[i], fx)
-	}
+	f.applyItems(now, ev.Items, fx)
 	if f.rebuilding && stale {
 		return
 	}
--- a/internal/core/discovery/discovery_test.go
+++ b/internal/core/discovery/discovery_test.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -561,3 +563,51 @@
 		}
 	}
 }
+
+// TestEmptyPageIsNotTheEndOfAList guards against a host that takes an empty page for the end of the
+// list although more items follow: it removes all targets that it did not list, and a host that starts
+// never learns the configuration.
+func TestEmptyPageIsNotTheEndOfAList(t *testing.T) {
+	for _, started := range []bool{false, true} {
+		h := newHarness(t)
+		if started {
+			h = newListedHarness(t)
+			h.step(&HistoryGone{})
+			h.advance(coalesceDelay)
+		}
+		h.step(&Page{Revision: 20, More: true})
+		h.advance(time.Minute)
+		if h.fx.Call == nil || h.fx.Call.Watch {
+			t.Fatalf("listed before: %v: call is %+v, want the list to go on", started, h.fx.Call)
+		}
+		if started && h.f.View().Targets["a"] == nil {
+			t.Error("a target was removed although its page has not come")
+		}
+		h.step(&Page{Items: []Item{configItem(3, 7), targetItem(5, "a")}, Revision: 20})
+		if v := h.f.View(); v.Config == nil || v.Targets["a"] == nil {
+			t.Errorf("listed before: %v: view is %+v after the list", started, v)
+		}
+	}
+}
+
+// TestManyEvacuatedZonesAreCheap guards against a host that works out all evacuated zones again for
+// each one of a reply, and stands still while it does. What it allocates shows how much work that is.
+func TestManyEvacuatedZonesAreCheap(t *testing.T) {
+	const zones, maxBytesPerZone = 2000, 10_000
+	h := newListedHarness(t)
+	changes := &Changes{Revision: 100 + zones}
+	for i := range zones {
+		name := strconv.Itoa(i)
+		changes.Items = append(changes.Items, Item{Key: "z/" + name, Kind: ZoneItem, Name: name, Revision: uint64(100 + i)})
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	h.step(changes)
+	runtime.ReadMemStats(&after)
+	if got := (after.TotalAlloc - before.TotalAlloc) / zones; got > maxBytesPerZone {
+		t.Errorf("%d bytes are allocated for each zone, want at most %d", got, maxBytesPerZone)
+	}
+	if got := len(h.f.View().EvacuatedZones); got != zones {
+		t.Errorf("%d zones are evacuated, want %d", got, zones)
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -86,6 +86,7 @@
 	ReplyMemory    ReplyMemory    `json:"reply_memory"`
 	StoreCalls     uint64         `json:"store_calls"`
 	StoreFailures  uint64         `json:"store_failures"`
+	StoreItems     StoreItems     `json:"store_items"`
 	// Panics is the number of panics that ended only the work for one request or message.
 	Panics uint64       `json:"panics"`
 	Rings  []ring.Stats `json:"rings"`
@@ -103,8 +104,9 @@
 		Memory:         g.budget.Usage(),
 		ReplyMemory:    ReplyMemory{Limit: g.settings.replyBytes(), Used: g.client.ReplyBytes()},
 		StoreCalls:     g.discovery.store.Calls(), StoreFailures: g.discovery.store.FailedCalls(),
-		Panics: g.panics.Count(),
-		Rings:  []ring.Stats{g.relay.inbox.Stats(), g.upstream.inbox.Stats(), g.discovery.inbox.Stats()},
+		StoreItems: g.discovery.catalog.usage(),
+		Panics:     g.panics.Count(),
+		Rings:      []ring.Stats{g.relay.inbox.Stats(), g.upstream.inbox.Stats(), g.discovery.inbox.Stats()},
 	}
 	if v.Config != nil {
 		s.ConfigVersion = v.Config.Version
