Targets that left long ago are forgotten

Cause: a deleted item is kept as deleted, so that an older one does not replace it and followers learn of it, without a bound. Class: what the store holds is bounded, what it has held is not.

Beyond 16,384 deleted items the older half is dropped, and KnownSince rises to the highest revision among them: a follower from before gets the hashes of the items there are, as after a list. An older copy of such an item would have to be 8,192 deletions old. Progress.Forgotten has the host's catalog for peers drop the same ones.

--- a/internal/core/discovery/apply.go
+++ b/internal/core/discovery/apply.go
@@ -26,7 +26,7 @@
 		return false
 	}
 	known := f.known(it, fx)
-	f.items[it.Key] = known
+	f.setItem(&known)
 	f.tellPeers(&known, fx)
 	if it.DecodeError != "" {
 		fx.Records = append(fx.Records, decision.Warning("item_unreadable",
--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -128,6 +128,10 @@
 	phase     phase
 	// items holds the newest item of each key, including deleted items.
 	items map[string]Item
+	// deletedItems is the number of those that are deleted, and forgotten the highest revision of those
+	// that were dropped.
+	deletedItems int
+	forgotten    uint64
 	// removals maps targets whose entries were deleted to the time they leave the view.
 	removals map[string]time.Duration
 	// listedItems holds the items of the list in progress; listRevision is the revision of
@@ -284,7 +288,7 @@
 // progress returns the progress of this host after a call.
 func (f *Follower) progress(fresh bool) *Progress {
 	return &Progress{
-		Era: f.servedEra, Revision: f.view.Revision, KnownSince: f.knownSince,
+		Era: f.servedEra, Revision: f.view.Revision, KnownSince: f.knownSince, Forgotten: f.forgotten,
 		Fresh: fresh, ContactAt: f.contactAt, FreshUntil: f.contactAt + f.contactLimit,
 	}
 }
@@ -416,7 +420,7 @@
 	}
 	f.phase = watching
 	f.complete = true
-	f.knownSince = f.listRevision
+	f.knownSince = max(f.knownSince, f.listRevision)
 	f.storeCoalesceDelay = coalesceDelay // changes are likely while a fleet or its targets start
 	f.view.Revision = max(f.view.Revision, f.listRevision)
 	f.viewChanged = true
@@ -426,6 +430,7 @@
 	fx.Records = append(fx.Records, decision.New("store_listed",
 		decision.Uint("era", f.view.Era), decision.Uint("revision", f.listRevision), decision.Int("items", len(f.listedItems))))
 	f.listedItems = nil
+	f.forgetDeleted()
 }
 
 // markDeleted handles an item that is missing from a list of the given revision as deleted, also
@@ -440,7 +445,7 @@
 		return
 	}
 	deleted := Item{Key: it.Key, Kind: it.Kind, Name: it.Name, Revision: revision, Deleted: true, Target: it.Target}
-	f.items[it.Key] = deleted
+	f.setItem(&deleted)
 	f.tellPeers(&deleted, fx)
 }
 
@@ -477,6 +482,7 @@
 		f.contactAt = max(f.contactAt, now.Mono-ev.ContactAge)
 		f.peerLost, f.peerStale = false, false
 	}
+	f.forgetDeleted()
 	fx.Progress = f.progress(!stale)
 	fx.Progress.Path = ev.Path
 	f.nextCallAt = now.Mono
--- a/internal/core/discovery/era.go
+++ b/internal/core/discovery/era.go
@@ -68,7 +68,7 @@
 		}
 	}
 	f.former.evacuated = maps.Clone(f.view.EvacuatedZones)
-	f.items = map[string]Item{}
+	f.items, f.deletedItems, f.forgotten = map[string]Item{}, 0, 0
 	f.view.Era, f.view.Revision, f.knownSince = era, 0, 0
 	f.rebuilding = true
 	f.beginList(now)
--- a/internal/core/discovery/event.go
+++ b/internal/core/discovery/event.go
@@ -147,6 +147,9 @@
 	Path []string
 	// KnownSince is the revision since which this host knows of all deletions.
 	KnownSince uint64
+	// Forgotten is the revision up to which this host no longer keeps deleted items. KnownSince is not
+	// below it.
+	Forgotten uint64
 }
 
 // FreshAt reports whether this host counts as up to date at a time.
--- a/internal/gateway/catalog.go
+++ b/internal/gateway/catalog.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -65,6 +66,9 @@
 		c.progress = *p
 		c.progress.Revision = max(last.Revision, p.Revision)
 		c.progress.KnownSince = max(last.KnownSince, p.KnownSince)
+		if p.Forgotten > last.Forgotten {
+			maps.DeleteFunc(c.items, func(_ string, it discovery.Item) bool { return it.Deleted && it.Revision <= p.Forgotten })
+		}
 		c.path = append([]string{c.self}, p.Path...)
 		changed = changed || c.progress.Revision > last.Revision || p.Fresh != last.Fresh || p.ContactAt > last.ContactAt
 	}
--- a/internal/gateway/catalog_test.go
+++ b/internal/gateway/catalog_test.go
@@ -30,6 +30,21 @@
 	}
 }
 
+// TestPeerFromBeforeForgottenDeletions checks that a host drops the deleted items that its core has
+// forgotten, and names the others to a peer that does not know of the deletion.
+func TestPeerFromBeforeForgottenDeletions(t *testing.T) {
+	c := newCatalogServer("self", sysclock.New(), zerolog.Nop())
+	c.update([]discovery.Item{{Key: "a", Revision: 5}, {Key: "b", Revision: 8, Deleted: true}, {Key: "c", Revision: 12, Deleted: true}},
+		&discovery.Progress{Revision: 12, Fresh: true, KnownSince: 4})
+	c.update(nil, &discovery.Progress{Revision: 12, Fresh: true, KnownSince: 8, Forgotten: 8})
+	if got := c.usage(); got.Count != 2 || got.Deleted != 1 {
+		t.Errorf("items kept are %+v, want one and one that is deleted", got)
+	}
+	if reply, _, _ := c.since(0, 7, 0); !reply.GetHasLive() || !slices.Equal(reply.GetLive(), []uint64{discovery.KeyHash("a")}) || len(reply.GetItems()) != 1 {
+		t.Errorf("reply to a peer from before the deletion is %+v, want the hash of the item that is left and the later deletion", reply)
+	}
+}
+
 // TestUsageCountsItems checks that the metrics tell what the items of the store take, by which an end
 // for lack of memory can be traced.
 func TestUsageCountsItems(t *testing.T) {
