--- a/internal/core/discovery/event.go
+++ b/internal/core/discovery/event.go
@@ -33,7 +33,8 @@
 	// DecodeError says why the item could not be decoded, in which case Config and Target are
 	// nil.
 	DecodeError string
-	// Value is the encoded item as it is stored, for forwarding to peers.
+	// Value is the encoded item, for forwarding to peers. Parts of the stored value that the host
+	// does not read may be missing.
 	Value []byte
 }
 
