--- a/internal/core/discovery/event.go
+++ b/internal/core/discovery/event.go
@@ -33,7 +33,8 @@
 	// DecodeError says why the item could not be decoded, in which case Config and Target are
 	// nil.
 	DecodeError string
-	// Value is the encoded item as it is stored, for forwarding to peers.
+	// Value is the encoded item, for forwarding to peers. Parts of the stored value that the host
+	// does not read may be missing.
 	Value []byte
 }
 
@@ -147,6 +148,9 @@
 	Path []string
 	// KnownSince is the revision since which this host knows of all deletions.
 	KnownSince uint64
+	// Forgotten is the revision up to which this host no longer keeps deleted items. KnownSince is not
+	// below it.
+	Forgotten uint64
 }
 
 // FreshAt reports whether this host counts as up to date at a time.
