The relay begins anew after a panic, and the process goes on

What callers saw: nothing yet. A panic in a step of the relay ended the process: the relay stood still, callers of requests in progress and of later ones waited until the grace time was nearly over, and the process ended with an error.

Cause: a duty that panics has the process stop, also the one that takes what callers, targets and peers send. Class: one unforeseen event takes a whole process down.

Change: the relay's engine is replaced, with the view, the members and the policy that the host knows and with IDs above all earlier ones. Requests in progress are answered as of unknown outcome, which is true whatever came of them, and their exchanges cancelled. The event is dropped, its stack logged (panic_recovered), and relay_restarts counts.

--- a/internal/core/relay/engine.go
+++ b/internal/core/relay/engine.go
@@ -36,6 +36,9 @@
 	InitialHosts int
 	// Seed initializes the random number generator, so that runs can be repeated.
 	Seed uint64
+	// FirstID is below the IDs of all attempts, handoffs and checks, so that they differ from those of
+	// an engine that this one replaces.
+	FirstID uint64
 }
 
 // Counters holds totals since the start of the process, for metrics.
@@ -123,7 +126,7 @@
 
 // New returns an engine that refuses all requests until it receives a configuration.
 func New(cfg Config) *Engine {
-	return &Engine{
+	e := &Engine{
 		cfg:      cfg,
 		rng:      rand.New(rand.NewPCG(cfg.Seed, 2)),
 		view:     catalog.NewView(),
@@ -142,6 +145,8 @@
 		zones:      zoneLatency{own: cfg.Zone, minLatency: map[string]time.Duration{}, minRTT: map[string]time.Duration{}},
 		counters:   Counters{Outcomes: map[string]uint64{}},
 	}
+	e.lastAttemptID, e.lastHandoffID, e.crash.lastCheckID = AttemptID(cfg.FirstID), HandoffID(cfg.FirstID), CheckID(cfg.FirstID)
+	return e
 }
 
 // Step handles one event.
--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -132,6 +132,18 @@
 	}
 }
 
+// CancelAll cancels all attempts.
+func (c *Client) CancelAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, x := range c.exchanges {
+		x.cancelled = true
+		if x.conn != nil {
+			_ = x.conn.Close()
+		}
+	}
+}
+
 // CancelUnsent cancels an attempt that has no connection yet.
 func (c *Client) CancelUnsent(id relay.AttemptID) {
 	c.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,10 +119,7 @@
 	if g.upstream, err = newUpstreamDuty(g.client, g.clock, g.relay.put, g.panics.Report); err != nil {
 		return err
 	}
-	g.upstream.observeLatency = g.latency.observeAttempt
-	g.relay.dispatch = g.upstream.put
-	g.relay.cancel, g.relay.cancelUnsent = g.client.Cancel, g.client.CancelUnsent
-	g.relay.record = g.logDecision
+	g.connectRelay()
 	measured := newTransits(g.clock)
 	if g.fleet, err = newFleetDuty(g.settings, g.clock, seed, g.log, measured, o.Dial, g.panics.Report); err != nil {
 		return err
@@ -163,6 +160,16 @@
 	return nil
 }
 
+// connectRelay sets what the relay does with its effects on this host.
+func (g *Gateway) connectRelay() {
+	g.upstream.observeLatency = g.latency.observeAttempt
+	g.relay.dispatch = g.upstream.put
+	g.relay.onPanic, g.relay.onFailure = g.panics.Report, func(err error) { g.dutyFailed("relay", err) }
+	g.relay.cancelAll = g.client.CancelAll
+	g.relay.cancel, g.relay.cancelUnsent = g.client.Cancel, g.client.CancelUnsent
+	g.relay.record = g.logDecision
+}
+
 // newSeed returns a seed that differs between hosts and between the starts of a host.
 func newSeed(host string, clk sysclock.Clock) uint64 {
 	h := fnv.New64a()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -87,8 +87,10 @@
 	StoreCalls     uint64         `json:"store_calls"`
 	StoreFailures  uint64         `json:"store_failures"`
 	// Panics is the number of panics that ended only the work for one request or message.
-	Panics uint64       `json:"panics"`
-	Rings  []ring.Stats `json:"rings"`
+	Panics uint64 `json:"panics"`
+	// RelayRestarts is the number of panics after which the relay began anew.
+	RelayRestarts uint64       `json:"relay_restarts"`
+	Rings         []ring.Stats `json:"rings"`
 }
 
 func (g *Gateway) status() any {
@@ -103,8 +105,8 @@
 		Memory:         g.budget.Usage(),
 		ReplyMemory:    ReplyMemory{Limit: g.settings.replyBytes(), Used: g.client.ReplyBytes()},
 		StoreCalls:     g.discovery.store.Calls(), StoreFailures: g.discovery.store.FailedCalls(),
-		Panics: g.panics.Count(),
-		Rings:  []ring.Stats{g.relay.inbox.Stats(), g.upstream.inbox.Stats(), g.discovery.inbox.Stats()},
+		Panics: g.panics.Count(), RelayRestarts: g.relay.restarts.count.Load(),
+		Rings: []ring.Stats{g.relay.inbox.Stats(), g.upstream.inbox.Stats(), g.discovery.inbox.Stats()},
 	}
 	if v.Config != nil {
 		s.ConfigVersion = v.Config.Version
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -27,8 +27,11 @@
 // relayDuty is the duty that owns the relay engine.
 type relayDuty struct {
 	clock    sysclock.Clock
+	config   relay.Config
 	engine   *relay.Engine
 	inbox    *ring.Ring[relay.Event]
+	fx       relay.Effects
+	restarts relayRestarts
 	dispatch func(job) bool
 	cancel   func(relay.AttemptID)
 	// cancelUnsent and withdraw cancel what has not been sent, and do not block.
@@ -36,6 +39,11 @@
 	withdraw     func(relay.HandoffID)
 	deliver      func(relay.Answer)
 	record       func(*decision.Record)
+	// onPanic receives a panic after which the engine was replaced, and onFailure one after which the
+	// duty ends. cancelAll cancels all attempts of this host.
+	onPanic   func(error)
+	onFailure func(error)
+	cancelAll func()
 	// undispatched holds the events that report the jobs for which the upstream ring had no
 	// room.
 	undispatched []relay.Event
@@ -48,9 +56,11 @@
 
 func newRelayDuty(cfg relay.Config, clk sysclock.Clock) *relayDuty {
 	r := &relayDuty{
-		clock:  clk,
-		engine: relay.New(cfg),
-		inbox:  ring.New[relay.Event]("relay", maxRequests+reservedSlots),
+		clock:    clk,
+		config:   cfg,
+		engine:   relay.New(cfg),
+		inbox:    ring.New[relay.Event]("relay", maxRequests+reservedSlots),
+		restarts: relayRestarts{open: map[uint64]struct{}{}},
 	}
 	r.counters.Store(&relay.Counters{})
 	return r
@@ -68,22 +78,33 @@
 
 func (r *relayDuty) run() {
 	batch := make([]relay.Event, stepBatch)
-	var fx relay.Effects
 	for {
 		n, ok := r.inbox.Take(batch, r.untilNextWake())
 		if !ok {
 			return
 		}
-		now := r.clock.Now()
-		for _, ev := range batch[:n] {
-			r.engine.Step(now, ev, &fx)
+		if rest, ok := r.stepOrRestart(batch[:n]); !ok {
+			r.refuseAll(rest)
+			return
 		}
-		r.engine.Advance(now, &fx)
-		r.applyEffects(&fx)
-		r.publishCounters(now.Mono)
 	}
 }
 
+// step passes events to the engine and carries out the effects. stepped counts the events that the engine
+// has been given.
+func (r *relayDuty) step(events []relay.Event, stepped *int) {
+	now := r.clock.Now()
+	for _, ev := range events {
+		*stepped++
+		r.restarts.begin(ev)
+		r.engine.Step(now, ev, &r.fx)
+		r.restarts.end(ev)
+	}
+	r.engine.Advance(now, &r.fx)
+	r.applyEffects(&r.fx)
+	r.publishCounters(now.Mono)
+}
+
 // untilNextWake returns the time until the relay's next timer expires.
 func (r *relayDuty) untilNextWake() time.Duration {
 	due, ok := r.engine.NextWake()
@@ -105,6 +126,7 @@
 			}
 		}
 		for i := range fx.Answers {
+			delete(r.restarts.open, fx.Answers[i].Key)
 			r.deliver(fx.Answers[i])
 		}
 		for i := range fx.Cancels {
