A route whose coverage cannot be reached is no panic of the relay

What callers saw: nothing yet. While a target of a service is cold or names a limit, the first query on a route with a min_coverage above 1 ended the process.

Cause: the number of shards that a query can do without was negative, and indexed the waits of its shards. Class: a valid but unusual value of the configuration.

Change: no query can do without fewer than no shards. Such a route still answers nothing.

The second seed of FuzzConfigurations failed before ("index out of range [8] with length 6"); 403,904 further inputs hold.

--- a/internal/core/relay/fuzz_test.go
+++ b/internal/core/relay/fuzz_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"pollentack.example/pollentack/internal/core/catalog"
 	"pollentack.example/pollentack/internal/core/result"
 )
 
@@ -46,3 +47,36 @@
 func timeoutOf(fuzzed int64) time.Duration {
 	return max(timeout, min(time.Duration(fuzzed), time.Minute))
 }
+
+// FuzzConfigurations runs requests on routes with any values, to targets that name a limit and are cold.
+// Configurations are the operator's. The engine must not panic, and a request that ends is answered once.
+func FuzzConfigurations(f *testing.F) {
+	f.Add(uint8(6), 0.75, 3, 2, int64(objective), int64(timeout), 60, 0.0, 1.0, 5.0, int64(0))
+	f.Add(uint8(6), 1.5, 0, 0, int64(0), int64(timeout), 0, 1e300, 0.0, 0.5, int64(time.Second))
+	f.Add(uint8(0), -1.0, -1, -1, int64(-1), int64(-1), -1, -1.0, -1.0, 1e300, int64(-1))
+	f.Fuzz(func(t *testing.T, gather uint8, coverage float64, topK, attempts int, limit, wait int64, connections int, coldRate, weight, named float64, cold int64) {
+		sim, names := newSimulation(t, 2), []string{"s00", "s01", "s00", "", "none"}
+		all := &catalog.Route{Name: "all", Host: "h", Prefix: "/all/", Idempotent: true, Timeout: time.Duration(wait), LatencyObjective: time.Duration(limit), MaxAttempts: attempts, TopK: topK, MinCoverage: coverage}
+		one, parts := *all, *all
+		one.Prefix, one.Service = "/one/", "s00"
+		parts.Prefix, parts.Split = "/parts/", []catalog.WeightedService{{Service: "s01", Weight: weight}, {Service: "none", Weight: -weight}}
+		for i := range int(gather) {
+			all.ShardServices = append(all.ShardServices, names[i%len(names)])
+		}
+		service := &catalog.Service{HealthPath: "/", MaxConnections: connections, MaxColdRate: coldRate}
+		v := testView(2)
+		v.Config = catalog.NewConfig(2, []*catalog.Route{all, &one, &parts}, map[string]*catalog.Service{"s00": service, "s01": service, "": service}, catalog.Limits{})
+		for name, target := range v.Targets {
+			target.ColdRemaining = time.Duration(cold)
+			sim.behaviors[name] = limited(named, &arrivalLog{})
+		}
+		sim.step(&ViewChanged{View: v})
+		sim.step(&MembersChanged{Members: members(3)})
+		for range 3 {
+			for _, path := range []string{"/all/x", "/one/x", "/parts/x"} {
+				sim.submit(path)
+			}
+			sim.advance(timeout)
+		}
+	})
+}
--- a/internal/core/relay/limit.go
+++ b/internal/core/relay/limit.go
@@ -255,7 +255,7 @@
 	}
 	spare := 0
 	if r.isGather() && r.Gather == nil {
-		spare = len(r.shards) - int(math.Ceil(r.route.MinCoverage*float64(len(r.shards))))
+		spare = max(0, len(r.shards)-int(math.Ceil(r.route.MinCoverage*float64(len(r.shards)))))
 	}
 	if len(waits) <= spare || r.Gather != nil && len(waits) < len(r.shards) {
 		return 0, false
