A starting host waits longer for a slow store

Cause: the time-out of a list is the one that lets a host with a view turn to another source in time. A host without a view has nothing to lose by waiting. Class: a retry that repeats what cannot succeed.

Until a host knows a whole list, the time-out of a page doubles with each failure in a row, up to 3 s. Peers are asked between the calls as before. Once a list is known, nothing changes.

TestStartingHostListsSlowStore (a store that takes a second for a page, core alone) before: "after 1m0.3s 2 pages are missing"; now it passes. Not run with real processes.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -45,6 +45,8 @@
 	peerReplyMargin  = 200 * time.Millisecond
 	firstReplyMargin = 700 * time.Millisecond
 	firstListMargin  = 1500 * time.Millisecond
+	// maxFirstListTimeout bounds the time that the store may take for a page of a host's first list.
+	maxFirstListTimeout = 3 * time.Second
 	// coalesceDelay is the delay between a change and the next watch, so that a burst of
 	// changes costs few calls. The list after HistoryGone is delayed by as much. It is far
 	// below any bound on applying a change.
--- a/internal/core/discovery/restart_test.go
+++ b/internal/core/discovery/restart_test.go
@@ -81,3 +81,28 @@
 		t.Errorf("progress of a follower is %+v, want deletions known since 10", h.fx.Progress)
 	}
 }
+
+// TestStartingHostListsSlowStore guards against a host that never serves, because the store takes longer
+// for a page of the list than the host waits, each time.
+func TestStartingHostListsSlowStore(t *testing.T) {
+	const replyTime = time.Second
+	h := newHarness(t)
+	pages := []*Page{{Items: []Item{configItem(3, 7)}, Revision: 10, More: true}, {Items: []Item{targetItem(5, "a")}, Revision: 10}}
+	for h.now.Mono < time.Minute && len(pages) > 0 {
+		call := h.fx.Call
+		switch {
+		case call == nil:
+			h.advance(10 * time.Millisecond)
+		case call.Timeout < replyTime:
+			h.now = h.now.Add(call.Timeout)
+			h.step(&CallFailed{Reason: "timed out"})
+		default:
+			h.now = h.now.Add(replyTime)
+			h.step(pages[0])
+			pages = pages[1:]
+		}
+	}
+	if v := h.f.View(); len(pages) > 0 || v.Config == nil || v.Targets["a"] == nil {
+		t.Errorf("after %v %d pages are missing, view is %+v", h.now.Mono, len(pages), v)
+	}
+}
--- a/internal/core/discovery/source.go
+++ b/internal/core/discovery/source.go
@@ -65,13 +65,22 @@
 	}
 	f.current, f.sourceSelected = source, true
 	if source == storeSource && f.phase == listing {
-		fx.Call = &Call{AfterKey: f.afterKey, Timeout: storeReplyMargin}
+		fx.Call = &Call{AfterKey: f.afterKey, Timeout: f.listTimeout()}
 		return
 	}
 	wait, margin := f.watchTimes(now)
 	fx.Call = &Call{Peer: source, Watch: true, Era: f.view.Era, AfterRevision: f.view.Revision, Wait: wait, Timeout: wait + margin}
 }
 
+// listTimeout returns how long the store may take for a page. A host that knows no whole list yet waits
+// longer after each failure, since it has nothing to serve with meanwhile.
+func (f *Follower) listTimeout() time.Duration {
+	if f.knownSince > 0 {
+		return storeReplyMargin
+	}
+	return min(storeReplyMargin<<min(f.storeFailures, 8), maxFirstListTimeout)
+}
+
 // watchTimes returns how long the next watch may wait, and how long after that its reply may take.
 // A watch ends before the contact limit is over, so the delay before it counts. After a failed call
 // the store is asked to answer at once, because a long wait would hide for its duration whether the
