A peer's reply of many small items fits into its call

The call ends as if the link had failed; the follower turns to the store, and a host that does not reach the store gets no configuration although its peers have it.

Cause: the size of a reply is the sum of keys and values, without what stands around each item and without the hashes of all items that a peer from before gets. Above the size of a call nothing is written.

The size of a reply is now that of its encoded items and its hashes.

TestCatalogReplyFitsIntoCall (60,000 items) before: "reply of 52224 items and 60000 hashes has 1716888 bytes, want some items in at most 1114112", and 1236878 without hashes; now it passes (race detector). What remains: a single item of nearly 1 MB, which only the configuration can be, beside more than 8,100 hashes, or more than 139,000 hashes, still exceed a call.

--- a/internal/gateway/catalog.go
+++ b/internal/gateway/catalog.go
@@ -17,9 +17,13 @@
 const (
 	// maxCatalogWait is the maximum time for which a peer's call waits for changes.
 	maxCatalogWait = 10 * time.Second
-	// maxCatalogReplyBytes is the maximum size of the keys and values in one reply. A reply may
+	// maxCatalogReplyBytes is the maximum size of the items and hashes in one reply. A reply may
 	// exceed it only with a single item.
 	maxCatalogReplyBytes = wire.MaxCallBytes * 3 / 4
+	// hashBytes is the size of a hash in a reply, and maxItemOverheadBytes that of what stands before
+	// an item.
+	hashBytes            = 8
+	maxItemOverheadBytes = 6
 )
 
 // catalogServer serves the items of the store to the peers that follow this host. The discovery
@@ -140,14 +144,15 @@
 		}
 		return 1
 	})
-	size := 0
+	size := hashBytes * len(reply.Live)
 	for i := range items {
-		size += len(items[i].Value) + len(items[i].Key)
+		item := wire.FromItem(&items[i])
+		size += proto.Size(item) + maxItemOverheadBytes
 		if i > 0 && size > maxCatalogReplyBytes {
 			reply.Revision = items[i-1].Revision
 			break
 		}
-		reply.Items = append(reply.Items, wire.FromItem(&items[i]))
+		reply.Items = append(reply.Items, item)
 	}
 	return reply, p, c.changed
 }
--- a/internal/gateway/catalog_test.go
+++ b/internal/gateway/catalog_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -46,6 +47,23 @@
 	}
 }
 
+// TestCatalogReplyFitsIntoCall guards against replies that are too large for a call, so that a peer never
+// gets the items: what surrounds many small items, and the hashes of many others, count too.
+func TestCatalogReplyFitsIntoCall(t *testing.T) {
+	for name, progress := range map[string]discovery.Progress{"small items": {}, "hashes of all": {KnownSince: 100_000}} {
+		c := newCatalogServer("self", sysclock.New(), zerolog.Nop())
+		for i := range 60_000 {
+			c.update([]discovery.Item{{Key: fmt.Sprintf("servers/%08d", i), Revision: uint64(i + 2)}}, nil)
+		}
+		progress.Revision = 100_000
+		c.update(nil, &progress)
+		reply, _, _ := c.since(0, 1, 0)
+		if size := proto.Size(reply); size > wire.MaxCallBytes || len(reply.GetItems()) == 0 || reply.GetHasLive() != (progress.KnownSince > 0) {
+			t.Errorf("%s: reply of %d items and %d hashes has %d bytes, want some items in at most %d", name, len(reply.GetItems()), len(reply.GetLive()), size, wire.MaxCallBytes)
+		}
+	}
+}
+
 // TestHostWithUnansweredCallStopsCountingAsUpToDate guards against followers that learn only with the
 // end of their host's call to the store that it has lost contact.
 func TestHostWithUnansweredCallStopsCountingAsUpToDate(t *testing.T) {
