A log that nobody reads does not keep a host from ending

Callers and operators saw: a host whose log pipe is not read any more serves on, but never ends after SIGTERM; it is cut by SIGKILL. A host of the JSON front end stands still altogether: each of its threads writes to the log.

Cause: at its end the gateway waits without a bound for the duty that writes the log, which stands in write(2). `serve` wrote its log without a duty.

The process may end while the duty is in write(2).

--- a/cmd/pollentack/gateway.go
+++ b/cmd/pollentack/gateway.go
@@ -10,7 +10,6 @@
 
 	"github.com/rs/zerolog"
 
-	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/logs"
 	"pollentack.example/pollentack/internal/edge/mesh"
 	"pollentack.example/pollentack/internal/edge/trace"
@@ -30,10 +29,6 @@
 // dialPeers replaces the function that dials peers unless it is nil.
 var dialPeers mesh.DialFunc
 
-// logQueueLines is the number of log lines buffered for standard output; further lines are
-// dropped.
-const logQueueLines = 4096
-
 // Run serves until SIGINT or SIGTERM, then shuts down gracefully. SIGHUP reloads the
 // settings file at once; without a signal, changes are detected by polling it every
 // settingsPollInterval.
@@ -59,15 +54,11 @@
 
 func (cmd *gatewayCmd) serve(s *gateway.Settings, file *settingsFile) error {
 	setSoftMemoryLimit(s)
-	logWriter := logs.NewAsyncWriter(os.Stdout, logQueueLines)
-	group, err := duty.NewGroup(1, func(string, error) {})
+	logWriter, err := startHostLog(os.Stdout)
 	if err != nil {
 		return err
 	}
-	if err = group.Start(logWriter.Duty()); err != nil {
-		return err
-	}
-	defer group.Stop()
+	defer logWriter.close()
 	log := logs.NewLimited(logWriter, cmd.LogLevel, cmd.LogLines).With().
 		Str("host", s.Host).Str("availability_zone", s.Zone).Logger()
 	if sig := stopRequested(hostSignals); sig != nil {
--- a/cmd/pollentack/serve.go
+++ b/cmd/pollentack/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"os"
 
 	"github.com/rs/zerolog"
@@ -25,7 +26,12 @@
 	if err != nil {
 		return asUsageError(err)
 	}
-	log := newLogger(s)
+	logWriter, err := startHostLog(os.Stderr)
+	if err != nil {
+		return err
+	}
+	defer logWriter.close()
+	log := newLogger(logWriter, s)
 	if sig := stopRequested(hostSignals); sig != nil {
 		log.Info().Str("event", "stop_requested").Str("signal", sig.String()).Str("reason", "before the start").Send()
 		return nil
@@ -72,8 +78,8 @@
 	return nil
 }
 
-func newLogger(s *settings.Settings) zerolog.Logger {
-	return logs.New(os.Stderr, s.Log.Level).With().
+func newLogger(out io.Writer, s *settings.Settings) zerolog.Logger {
+	return logs.New(out, s.Log.Level).With().
 		Str("host", s.Host.Name).Str("availability_zone", s.Host.Zone).Logger()
 }
 
--- /dev/null
+++ b/cmd/pollentack/start_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"pollentack.example/pollentack/platform/platformtest"
+)
+
+// oneHost is a gateway or a host of the JSON front end that a test starts as a process.
+type oneHost struct {
+	t    *testing.T
+	site *platformtest.Site
+	// args are the arguments of the process.
+	args []string
+	cmd  *exec.Cmd
+}
+
+// newGateway returns a gateway that has not been started yet, with its platform.
+func newGateway(t *testing.T) *oneHost {
+	t.Helper()
+	port := freePortRange(t, platformtest.PortsPerHost)
+	site, err := platformtest.StartSite(t.TempDir(), platformtest.SiteConfig{Hosts: 1, Zones: 2, Shards: 2, BasePort: port})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(site.Close)
+	return &oneHost{t: t, site: site, args: []string{"gateway", "--settings", site.SettingsFiles[0]}}
+}
+
+// newEntryHost returns a host of the JSON front end whose platform does not answer.
+func newEntryHost(t *testing.T) *oneHost {
+	t.Helper()
+	ports := freePorts(t, portsPerHost+1)
+	path := filepath.Join(t.TempDir(), "host.ini")
+	text := fmt.Sprintf("[host]\nname = h\navailability-zone = z\n[listen]\nfront = %s\nadmin = %s\nmesh = %s\n[platform]\naddress = %s\n",
+		loopbackAddress(ports[0]), loopbackAddress(ports[1]), loopbackAddress(ports[2]), loopbackAddress(ports[3]))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return &oneHost{t: t, args: []string{"serve", path}}
+}
+
+// start starts the process with its standard output and standard error on out.
+func (h *oneHost) start(out *os.File) {
+	h.t.Helper()
+	h.cmd = exec.Command(os.Args[0], h.args...)
+	h.cmd.Env = append(os.Environ(), runCommandEnv+"=1")
+	h.cmd.Stdout, h.cmd.Stderr = out, out
+	if err := h.cmd.Start(); err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { _ = h.cmd.Process.Kill(); _ = h.cmd.Wait() })
+}
+
+// stop sends SIGTERM and expects the process to end with exit code 0.
+func (h *oneHost) stop() {
+	h.t.Helper()
+	if err := h.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		h.t.Fatal(err)
+	}
+	timer := time.AfterFunc(gracefulStopTimeout, func() { _ = h.cmd.Process.Kill() })
+	defer timer.Stop()
+	if err := h.cmd.Wait(); err != nil {
+		h.t.Errorf("after SIGTERM the process ended with %v, want exit code 0", err)
+	}
+}
+
+// TestUnreadLogDoesNotHoldUpTheEnd guards against a host that does not end because nobody reads
+// the pipe with its log.
+func TestUnreadLogDoesNotHoldUpTheEnd(t *testing.T) {
+	for name, newHost := range map[string]func(*testing.T) *oneHost{"gateway": newGateway, "serve": newEntryHost} {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(t)
+			reader := h.startWithPipe(t)
+			defer func() { _ = reader.Close() }()
+			fillPipe(t, reader)
+			h.stop()
+		})
+	}
+}
+
+// startWithPipe starts the process with its output on a pipe, and returns the pipe's reader once
+// the host has started.
+func (h *oneHost) startWithPipe(t *testing.T) *os.File {
+	t.Helper()
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.start(writer)
+	_ = writer.Close()
+	lines := bufio.NewScanner(reader)
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), "_started") {
+			return reader
+		}
+	}
+	t.Fatal("the process ended before it had started")
+	return nil
+}
+
+// fillPipe fills the pipe, so that the next write to it blocks.
+func fillPipe(t *testing.T, reader *os.File) {
+	t.Helper()
+	fd, err := syscall.Open(fmt.Sprintf("/proc/self/fd/%d", reader.Fd()), syscall.O_WRONLY|syscall.O_NONBLOCK, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = syscall.Close(fd) }()
+	for size := 4096; size > 0; {
+		if _, err = syscall.Write(fd, make([]byte, size)); errors.Is(err, syscall.EAGAIN) {
+			size /= 2
+		} else if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/edge/logs/async.go
+++ b/internal/edge/logs/async.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/ring"
@@ -18,11 +19,13 @@
 	out     io.Writer
 	lines   *ring.Ring[[]byte]
 	dropped atomic.Uint64
+	// ended is closed when the duty has written all lines.
+	ended chan struct{}
 }
 
 // NewAsyncWriter returns a writer to out that queues at most capacity lines.
 func NewAsyncWriter(out io.Writer, capacity int) *AsyncWriter {
-	return &AsyncWriter{out: out, lines: ring.New[[]byte]("log", capacity)}
+	return &AsyncWriter{out: out, lines: ring.New[[]byte]("log", capacity), ended: make(chan struct{})}
 }
 
 // Write queues a copy of one line. It always reports success, also for a dropped line.
@@ -42,7 +45,21 @@
 	return duty.Duty{Name: "log", Run: a.run, Stop: a.lines.Close}
 }
 
+// Flush ends the duty once it has written the queued lines, and waits for that at most the
+// timeout. It returns false if the reader of the log has not taken them by then: the duty may
+// never end, and must not be waited for.
+func (a *AsyncWriter) Flush(timeout time.Duration) bool {
+	a.lines.Close()
+	select {
+	case <-a.ended:
+		return true
+	case <-time.After(timeout):
+		return false
+	}
+}
+
 func (a *AsyncWriter) run() {
+	defer close(a.ended)
 	batch := make([][]byte, asyncBatch)
 	var buf []byte
 	for {
