A host outlives the reader of its log

Callers saw: connections cut, the process gone, with no line that says why.

Cause: Go ends a process on a write to standard output or standard error that fails with EPIPE, unless the program handles SIGPIPE. Once the reader of the pipe with the log has gone, the next log line ends the host.

Evidence: TestLogReaderThatWentAwayDoesNotEndTheHost on: "the process ended with signal: broken pipe, want exit code 0" for both front ends.

Hosts ignore SIGPIPE: the write fails, and the line is counted as dropped. Both front ends then serve on and end with exit code 0. Whether this is what the users saw is not known; that no logs were kept would fit.

--- a/cmd/pollentack/signals.go
+++ b/cmd/pollentack/signals.go
@@ -20,7 +20,11 @@
 		signal.Notify(hostSignals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	case "serve":
 		signal.Notify(hostSignals, os.Interrupt, syscall.SIGTERM)
+	default:
+		return
 	}
+	// A write to a log whose reader has gone fails, and the line is counted as dropped.
+	signal.Ignore(syscall.SIGPIPE)
 }
 
 // stopRequested returns a stop signal that has arrived already, or nil. Requests to reload are
--- a/cmd/pollentack/start_test.go
+++ b/cmd/pollentack/start_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -61,6 +62,15 @@
 	h.t.Cleanup(func() { _ = h.cmd.Process.Kill(); _ = h.cmd.Wait() })
 }
 
+// awaitServing waits until the gateway answers an ordinary request.
+func (h *oneHost) awaitServing() {
+	h.t.Helper()
+	awaitCondition(h.t, "the gateway to serve", func() bool {
+		a, err := platformtest.SendRequest(http.DefaultClient, h.site.FrontAddresses[0], http.MethodGet, "/search/x", "1", time.Second)
+		return err == nil && a.Status == http.StatusOK
+	})
+}
+
 // stop sends SIGTERM and expects the process to end with exit code 0.
 func (h *oneHost) stop() {
 	h.t.Helper()
@@ -88,6 +98,21 @@
 	}
 }
 
+// TestLogReaderThatWentAwayDoesNotEndTheHost guards against a host that is ended by SIGPIPE as it
+// writes to its log after the log's reader has gone.
+func TestLogReaderThatWentAwayDoesNotEndTheHost(t *testing.T) {
+	for name, newHost := range map[string]func(*testing.T) *oneHost{"gateway": newGateway, "serve": newEntryHost} {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(t)
+			_ = h.startWithPipe(t).Close()
+			if h.site != nil {
+				h.awaitServing()
+			}
+			h.stop() // is logged, too
+		})
+	}
+}
+
 // startWithPipe starts the process with its output on a pipe, and returns the pipe's reader once
 // the host has started.
 func (h *oneHost) startWithPipe(t *testing.T) *os.File {
