A gateway logs its start before its settings, and why it ends

A process that ended over its settings left one line of plain text on standard error and none in its log, and gateway_stopped did not say whether a duty had panicked. process_started is now the first line of each process, with its id, settings_unusable tells why the settings were not usable, and gateway_stopped names the error.

--- a/cmd/pollentack/gateway.go
+++ b/cmd/pollentack/gateway.go
@@ -41,26 +41,32 @@
 		return asUsageError(errors.New("no settings file: set --settings"))
 	}
 	file := &settingsFile{path: path}
+	if !cmd.Check {
+		return cmd.serve(file)
+	}
 	s, err := file.load()
 	if err != nil {
 		return asUsageError(err)
 	}
-	if cmd.Check {
-		fmt.Fprintf(stdout, "%s: settings of host %q in availability zone %q are valid\n", path, s.Host, s.Zone)
-		return nil
-	}
-	return cmd.serve(s, file)
+	fmt.Fprintf(stdout, "%s: settings of host %q in availability zone %q are valid\n", path, s.Host, s.Zone)
+	return nil
 }
 
-func (cmd *gatewayCmd) serve(s *gateway.Settings, file *settingsFile) error {
-	setSoftMemoryLimit(s)
+func (cmd *gatewayCmd) serve(file *settingsFile) error {
 	logWriter, err := startHostLog(os.Stdout)
 	if err != nil {
 		return err
 	}
 	defer logWriter.close()
-	log := logs.NewLimited(logWriter, cmd.LogLevel, cmd.LogLines).With().
-		Str("host", s.Host).Str("availability_zone", s.Zone).Logger()
+	log := logs.NewLimited(logWriter, cmd.LogLevel, cmd.LogLines)
+	log.Info().Str("event", "process_started").Int("pid", os.Getpid()).Str("settings", file.path).Send()
+	s, err := file.load()
+	if err != nil {
+		log.Error().Str("event", "settings_unusable").Err(err).Send()
+		return asUsageError(err)
+	}
+	setSoftMemoryLimit(s)
+	log = log.With().Str("host", s.Host).Str("availability_zone", s.Zone).Logger()
 	if sig := stopRequested(hostSignals); sig != nil {
 		log.Info().Str("event", "stop_requested").Str("signal", sig.String()).Str("reason", "before the start").Send()
 		return nil
@@ -77,7 +83,7 @@
 	err = waitForStop(g, hostSignals, file, &log)
 	g.Stop()
 	err = errors.Join(err, tracer.Close())
-	log.Info().Str("event", "gateway_stopped").Uint64("log_lines_dropped", logWriter.Dropped()).Send()
+	log.Info().Str("event", "gateway_stopped").Err(err).Uint64("log_lines_dropped", logWriter.Dropped()).Send()
 	return err
 }
 
--- a/cmd/pollentack/start_test.go
+++ b/cmd/pollentack/start_test.go
@@ -125,7 +125,7 @@
 	_ = writer.Close()
 	lines := bufio.NewScanner(reader)
 	for lines.Scan() {
-		if strings.Contains(lines.Text(), "_started") {
+		if strings.Contains(lines.Text(), "gateway_started") || strings.Contains(lines.Text(), "host_started") {
 			return reader
 		}
 	}
