A host waits for a port that is held at its start

Callers saw: a host that is started again is gone at once, again and again, while an earlier process of it is still ending or another process has an outgoing connection with one of its ports as its local port.

Cause: each listener was opened once at the start, and a failure of any of them, also of that for operators, ended the process with exit code 1.

internal/edge/listen opens the sockets of both front ends. A gateway that does not listen for callers is not ready and stops without its least time of drain; without its other ports it serves callers.

--- a/cmd/pollentack/start_test.go
+++ b/cmd/pollentack/start_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -20,9 +21,10 @@
 type oneHost struct {
 	t    *testing.T
 	site *platformtest.Site
-	// args are the arguments of the process.
-	args []string
-	cmd  *exec.Cmd
+	// args are the arguments of the process, and firstPort is the first of its ports.
+	args      []string
+	firstPort int
+	cmd       *exec.Cmd
 }
 
 // newGateway returns a gateway that has not been started yet, with its platform.
@@ -34,7 +36,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(site.Close)
-	return &oneHost{t: t, site: site, args: []string{"gateway", "--settings", site.SettingsFiles[0]}}
+	return &oneHost{t: t, site: site, args: []string{"gateway", "--settings", site.SettingsFiles[0]}, firstPort: port}
 }
 
 // newEntryHost returns a host of the JSON front end whose platform does not answer.
@@ -47,7 +49,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return &oneHost{t: t, args: []string{"serve", path}}
+	return &oneHost{t: t, args: []string{"serve", path}, firstPort: ports[0]}
 }
 
 // start starts the process with its standard output and standard error on out.
@@ -149,3 +151,48 @@
 		}
 	}
 }
+
+// TestHeldPortDoesNotEndTheHost guards against a host that ends because another process holds one
+// of its ports at its start: an earlier one that is still stopping, or an outgoing connection. The
+// host must serve once the port is free, without its port for operators in any case, and end if it
+// is told to.
+func TestHeldPortDoesNotEndTheHost(t *testing.T) {
+	hosts := map[string]func(*testing.T) *oneHost{"gateway": newGateway, "serve": newEntryHost}
+	for _, tt := range []struct {
+		host string
+		port int
+	}{{"gateway", 0}, {"gateway", 1}, {"gateway", 2}, {"gateway", metricsPort}, {"serve", 0}, {"serve", 1}, {"serve", 2}} {
+		t.Run(fmt.Sprintf("%s port %d", tt.host, tt.port), func(t *testing.T) {
+			h := hosts[tt.host](t)
+			held, err := net.Listen("tcp", loopbackAddress(h.firstPort+tt.port))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = held.Close() }()
+			log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = log.Close() }()
+			h.start(log)
+			awaitCondition(t, "the held port to be logged", func() bool { return logContains(t, log.Name(), "listen_failed", held.Addr().String()) })
+			if tt.port != metricsPort {
+				h.stop()
+				h.start(log)
+				_ = held.Close()
+			}
+			if h.site != nil {
+				h.awaitServing()
+			} else {
+				awaitCondition(t, "the host to listen", func() bool {
+					conn, err := net.Dial("tcp", held.Addr().String())
+					return err == nil && conn.Close() == nil
+				})
+			}
+			h.stop()
+		})
+	}
+}
+
+// metricsPort is the position of a gateway's port for operators among its ports.
+const metricsPort = 3
--- a/internal/edge/admin/admin.go
+++ b/internal/edge/admin/admin.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"expvar"
+	"net"
 	"net/http"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -26,11 +27,11 @@
 	server *httpd.Server
 }
 
-// Start listens on address. status returns the value that PathStatus encodes as JSON; drain
+// Start serves operators on socket. status returns the value that PathStatus encodes as JSON; drain
 // begins the graceful shutdown and returns without waiting for it.
-func Start(address string, options httpd.Options, status func() any, drain func()) (*Server, error) {
+func Start(socket net.Listener, options httpd.Options, status func() any, drain func()) (*Server, error) {
 	a := &Server{status: status, drain: drain}
-	s, err := httpd.Start(address, options, a.routes)
+	s, err := httpd.Serve(socket, options, a.routes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/edge/callerapi/callerapi.go
+++ b/internal/edge/callerapi/callerapi.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -66,13 +67,13 @@
 	server *httpd.Server
 }
 
-// Start listens on address. submit passes a request to the engine and reports whether it was
+// Start serves callers on socket. submit passes a request to the engine and reports whether it was
 // accepted. routes register further paths.
-func Start(address string, limits httpd.Options, tracer *trace.Tracer, submit func(*engine.Submit) bool, routes ...func(*server.Hertz)) (*Server, error) {
+func Start(socket net.Listener, limits httpd.Options, tracer *trace.Tracer, submit func(*engine.Submit) bool, routes ...func(*server.Hertz)) (*Server, error) {
 	s := &Server{submit: submit, tracer: tracer, maxBodyBytes: limits.MaxBodyBytes, pending: map[uint64]chan engine.Answer{}}
 	limits.MaxBodyBytes *= bodyReadFactor
 	limits.MaxHeaderBytes = maxHeaderBytes
-	httpServer, err := httpd.Start(address, limits, func(h *server.Hertz) {
+	httpServer, err := httpd.Serve(socket, limits, func(h *server.Hertz) {
 		s.routes(h)
 		for _, route := range routes {
 			route(h)
--- a/internal/edge/callerapi/callerapi_test.go
+++ b/internal/edge/callerapi/callerapi_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -18,7 +19,11 @@
 func TestBadRequestsAreRefused(t *testing.T) {
 	const bodyBytes = 1024
 	submitted := 0
-	s, err := Start("127.0.0.1:0", httpd.Options{MaxBodyBytes: bodyBytes}, trace.NewDisabled(), func(*engine.Submit) bool {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Start(socket, httpd.Options{MaxBodyBytes: bodyBytes}, trace.NewDisabled(), func(*engine.Submit) bool {
 		submitted++
 		return false
 	})
@@ -63,7 +68,11 @@
 }
 
 func TestOversizedHeaderIsRefused(t *testing.T) {
-	s, err := Start("127.0.0.1:0", httpd.Options{MaxBodyBytes: 1024}, trace.NewDisabled(), func(*engine.Submit) bool { return false })
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Start(socket, httpd.Options{MaxBodyBytes: 1024}, trace.NewDisabled(), func(*engine.Submit) bool { return false })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -61,17 +62,17 @@
 	server     *httpd.Server
 }
 
-// Start listens for callers on address. submit passes a new request to the relay and returns
+// Start serves callers on socket. submit passes a new request to the relay and returns
 // false if the relay has no room; notify passes other events. waiters delivers the relay's
 // answers, and record logs the requests that are refused before they reach the relay.
-func Start(address string, codec Codec, budget *memory.Budget, waiters *await.Waiters[relay.Answer], submit, notify func(relay.Event) bool, record func(*decision.Record), tracer *trace.Tracer, clk sysclock.Clock) (*Server, error) {
+func Start(socket net.Listener, codec Codec, budget *memory.Budget, waiters *await.Waiters[relay.Answer], submit, notify func(relay.Event) bool, record func(*decision.Record), tracer *trace.Tracer, clk sysclock.Clock) (*Server, error) {
 	s := &Server{codec: codec, budget: budget, submit: submit, notify: notify, waiters: waiters, record: record, tracer: tracer, clock: clk}
 	s.limits.Store(&catalog.Limits{})
 	options := httpd.Options{
 		MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes,
 		DetectDisconnect: true, OmitDefaults: true, IdleTimeout: s.idleTimeout, Budget: budget, Overloaded: s.overloaded(),
 	}
-	httpServer, err := httpd.Start(address, options, func(h *server.Hertz) { h.Use(s.serve) })
+	httpServer, err := httpd.Serve(socket, options, func(h *server.Hertz) { h.Use(s.serve) })
 	if err != nil {
 		return nil, err
 	}
@@ -223,10 +224,10 @@
 // about the time in which the relay processes a full ring.
 const queueFullRetryAfter = 200 * time.Millisecond
 
-// StartReady listens on address for the balancer's readiness checks; ready reports whether
+// StartReady serves the balancer's readiness checks on socket; ready reports whether
 // the host accepts new connections.
-func StartReady(address string, codec Codec, ready func() bool) (*httpd.Server, error) {
-	return httpd.Start(address, httpd.Options{MaxBodyBytes: maxHeaderBytes}, func(h *server.Hertz) {
+func StartReady(socket net.Listener, codec Codec, ready func() bool) (*httpd.Server, error) {
+	return httpd.Serve(socket, httpd.Options{MaxBodyBytes: maxHeaderBytes}, func(h *server.Hertz) {
 		h.GET(codec.ReadyPath(), func(_ context.Context, c *app.RequestContext) {
 			if ready() {
 				c.SetStatusCode(http.StatusOK)
--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -20,6 +20,7 @@
 	"pollentack.example/pollentack/internal/core/membership"
 	"pollentack.example/pollentack/internal/core/release"
 	"pollentack.example/pollentack/internal/duty"
+	"pollentack.example/pollentack/internal/edge/listen"
 	"pollentack.example/pollentack/internal/ring"
 	"pollentack.example/pollentack/internal/settings"
 	"pollentack.example/pollentack/internal/wire"
@@ -158,8 +159,8 @@
 	} else if m.security, err = newSecurity(&o.Settings, o.Listen, o.Log); err != nil {
 		return nil, err
 	}
-	if m.listener, err = net.Listen("tcp", o.Listen); err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", o.Listen, err)
+	if m.listener, err = listen.TCP(o.Listen, o.Log); err != nil {
+		return nil, err
 	}
 	if err = m.startDuties(); err != nil {
 		_ = m.listener.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"pollentack.example/pollentack/internal/edge/await"
 	"pollentack.example/pollentack/internal/edge/httpd"
 	"pollentack.example/pollentack/internal/edge/ingress"
+	"pollentack.example/pollentack/internal/edge/listen"
 	"pollentack.example/pollentack/internal/edge/memory"
 	"pollentack.example/pollentack/internal/edge/mesh"
 	"pollentack.example/pollentack/internal/edge/sysclock"
@@ -71,7 +72,9 @@
 	waiters   *await.Waiters[relay.Answer]
 	client    *upstream.Client
 	// budget bounds the memory of callers' connections and requests and of messages to peers.
-	budget   *memory.Budget
+	budget *memory.Budget
+	// front is the socket of ingress, which may have to wait for its port.
+	front    *listen.Listener
 	ingress  *ingress.Server
 	ready    *httpd.Server
 	metrics  *admin.Server
@@ -141,14 +144,7 @@
 	// If the ring is full, the targets' entries are relied on.
 	g.discovery.onContact = func(lost bool) { g.relay.put(&relay.StoreContact{Lost: lost}) }
 	g.discovery.record = g.logDecision
-	if g.ingress, err = ingress.Start(g.settings.Listen.Front, o.Codec, g.budget, g.waiters, g.relay.submit, g.relay.put, g.logDecision, o.Tracer, g.clock); err != nil {
-		return err
-	}
-	g.relay.deliver = g.deliverAnswer
-	if g.ready, err = ingress.StartReady(g.settings.Listen.Ready, o.Codec, g.isReady); err != nil {
-		return err
-	}
-	if g.metrics, err = admin.Start(g.settings.Listen.Metrics, httpd.Options{}, g.status, func() {}); err != nil {
+	if err = g.listen(o); err != nil {
 		return err
 	}
 	duties := slices.Concat([]duty.Duty{g.upstream.duty(), g.relay.duty()}, g.discovery.duties(), []duty.Duty{g.roster.duty()}, g.fleet.duties())
@@ -160,6 +156,32 @@
 	return nil
 }
 
+// listen starts the servers for callers, the balancer and operators.
+func (g *Gateway) listen(o *Options) error {
+	var err error
+	if g.front, err = listen.TCP(g.settings.Listen.Front, g.log); err != nil {
+		return err
+	}
+	if g.ingress, err = ingress.Start(g.front, o.Codec, g.budget, g.waiters, g.relay.submit, g.relay.put, g.logDecision, o.Tracer, g.clock); err != nil {
+		return err
+	}
+	g.relay.deliver = g.deliverAnswer
+	socket, err := listen.TCP(g.settings.Listen.Ready, g.log)
+	if err != nil {
+		return err
+	}
+	if g.ready, err = ingress.StartReady(socket, o.Codec, g.isReady); err != nil {
+		return err
+	}
+	if socket, err = listen.TCP(g.settings.Listen.Metrics, g.log); err != nil {
+		return err
+	}
+	if g.metrics, err = admin.Start(socket, httpd.Options{}, g.status, func() {}); err != nil {
+		return err
+	}
+	return nil
+}
+
 // newSeed returns a seed that differs between hosts and between the starts of a host.
 func newSeed(host string, clk sysclock.Clock) uint64 {
 	h := fnv.New64a()
@@ -192,11 +214,11 @@
 	}
 }
 
-// isReady reports whether the balancer may send connections to this host: it is not draining,
-// and has a configuration and at least one target.
+// isReady reports whether the balancer may send connections to this host: it listens for callers,
+// is not draining, and has a configuration and at least one target.
 func (g *Gateway) isReady() bool {
 	v := g.discovery.view.Load()
-	return !g.draining.Load() && v.Config != nil && len(v.Targets) > 0
+	return g.front.Listening() && !g.draining.Load() && v.Config != nil && len(v.Targets) > 0
 }
 
 func (g *Gateway) dutyFailed(name string, err error) {
@@ -269,8 +291,12 @@
 	if !g.relay.put(&relay.Drain{Until: answerDeadline}) {
 		g.log.Error().Str("event", "drain_dropped").Str("reason", "relay ring is full").Send()
 	}
+	minDrain := g.settings.MinDrain
+	if !g.front.Listening() {
+		minDrain = 0
+	}
 	for time.Since(begin) < grace-stopMargin {
-		if time.Since(begin) >= g.settings.MinDrain && g.ingress.InProgress() == 0 {
+		if time.Since(begin) >= minDrain && g.ingress.InProgress() == 0 {
 			break
 		}
 		time.Sleep(stopPollInterval)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"pollentack.example/pollentack/internal/edge/await"
 	"pollentack.example/pollentack/internal/edge/callerapi"
 	"pollentack.example/pollentack/internal/edge/httpd"
+	"pollentack.example/pollentack/internal/edge/listen"
 	"pollentack.example/pollentack/internal/edge/mesh"
 	"pollentack.example/pollentack/internal/edge/platform"
 	"pollentack.example/pollentack/internal/edge/sysclock"
@@ -182,16 +183,22 @@
 }
 
 func (n *Node) listen() error {
-	var err error
 	limits := httpd.Options{MaxBodyBytes: n.settings.Limits.BodyBytes}
-	n.front, err = callerapi.Start(n.settings.Listen.Front, limits, n.tracer, func(s *engine.Submit) bool { return n.queries.submit(s) }, n.tickets.Routes)
+	socket, err := listen.TCP(n.settings.Listen.Front, n.log)
+	if err != nil {
+		return err
+	}
+	n.front, err = callerapi.Start(socket, limits, n.tracer, func(s *engine.Submit) bool { return n.queries.submit(s) }, n.tickets.Routes)
 	if err != nil {
 		return err
 	}
 	n.queries.setDeliver(n.front.Deliver)
 	n.membership.setIsolationHandler(n.front.SetIsolated)
 	n.front.SetReadinessCheck(n.Ready)
-	n.admin, err = admin.Start(n.settings.Listen.Admin, httpd.Options{MaxBodyBytes: adminBodyBytes}, func() any { return n.Status() }, n.requestDrain)
+	if socket, err = listen.TCP(n.settings.Listen.Admin, n.log); err != nil {
+		return err
+	}
+	n.admin, err = admin.Start(socket, httpd.Options{MaxBodyBytes: adminBodyBytes}, func() any { return n.Status() }, n.requestDrain)
 	return err
 }
 
