A SIGTERM is not lost behind SIGHUPs

Callers saw: a host that is told to stop while it starts or reads its settings serves on, and is cut by SIGKILL with its requests in progress.

Cause: SIGHUP and SIGTERM shared a channel of four signals, and os/signal drops a signal that finds its channel full. Nothing takes signals while the settings are read or the duties start.

Evidence: TestStopBeforeStart with eight SIGHUPs before the SIGTERM, on: "the process ended with signal: killed, want exit code 0", "the process served after the signal"; without SIGHUPs it passes there.

Stops and reloads now have a channel each: one request to reload stands for all that follow, and the first two stops are kept. The test passes with and without SIGHUPs. The JSON front end only takes stops and was not affected.

--- a/cmd/pollentack/gateway.go
+++ b/cmd/pollentack/gateway.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -67,7 +66,7 @@
 	}
 	setSoftMemoryLimit(s)
 	log = log.With().Str("host", s.Host).Str("availability_zone", s.Zone).Logger()
-	if sig := stopRequested(hostSignals); sig != nil {
+	if sig := stopRequested(stopSignalsOfHost); sig != nil {
 		log.Info().Str("event", "stop_requested").Str("signal", sig.String()).Str("reason", "before the start").Send()
 		return nil
 	}
@@ -80,7 +79,7 @@
 		log.Error().Str("event", "start_failed").Err(err).Send()
 		return err
 	}
-	err = waitForStop(g, hostSignals, file, &log)
+	err = waitForStop(g, file, &log)
 	g.Stop()
 	err = errors.Join(err, tracer.Close())
 	log.Info().Str("event", "gateway_stopped").Err(err).Uint64("log_lines_dropped", logWriter.Dropped()).Send()
@@ -96,18 +95,16 @@
 
 // waitForStop reloads the settings on SIGHUP and on changes of the file. It returns nil on
 // SIGINT or SIGTERM, and an error if the gateway fails.
-func waitForStop(g *gateway.Gateway, signals <-chan os.Signal, file *settingsFile, log *zerolog.Logger) error {
+func waitForStop(g *gateway.Gateway, file *settingsFile, log *zerolog.Logger) error {
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
 	for {
 		select {
 		case <-poll.C:
 			file.reload(g, false, log)
-		case sig := <-signals:
-			if sig == syscall.SIGHUP {
-				file.reload(g, true, log)
-				continue
-			}
+		case <-reloadSignalsOfHost:
+			file.reload(g, true, log)
+		case sig := <-stopSignalsOfHost:
 			log.Info().Str("event", "stop_requested").Str("signal", sig.String()).Send()
 			return nil
 		case err := <-g.Failed():
--- a/cmd/pollentack/serve.go
+++ b/cmd/pollentack/serve.go
@@ -32,7 +32,7 @@
 	}
 	defer logWriter.close()
 	log := newLogger(logWriter, s)
-	if sig := stopRequested(hostSignals); sig != nil {
+	if sig := stopRequested(stopSignalsOfHost); sig != nil {
 		log.Info().Str("event", "stop_requested").Str("signal", sig.String()).Str("reason", "before the start").Send()
 		return nil
 	}
@@ -45,13 +45,13 @@
 		return err
 	}
 	select {
-	case sig := <-hostSignals:
+	case sig := <-stopSignalsOfHost:
 		log.Info().Str("event", "stop_requested").Str("signal", sig.String()).Send()
 	case <-n.DrainRequested():
 		log.Info().Str("event", "stop_requested").Str("operator", "drain").Send()
 	case err = <-n.Failed():
 	}
-	return errors.Join(err, stopNode(n, hostSignals, &log), tracer.Close())
+	return errors.Join(err, stopNode(n, stopSignalsOfHost, &log), tracer.Close())
 }
 
 // stopNode shuts the host down gracefully on a separate thread, so that a second signal can
--- a/cmd/pollentack/signals.go
+++ b/cmd/pollentack/signals.go
@@ -6,39 +6,38 @@
 	"syscall"
 )
 
-// hostSignals receives the signals of a host process.
-var hostSignals = make(chan os.Signal, 4)
+// stopSignalsOfHost and reloadSignalsOfHost receive the signals of a host process. A signal that
+// finds its channel full is lost, so that each kind has its own: of stops, the second one counts, too.
+var (
+	stopSignalsOfHost   = make(chan os.Signal, 2)
+	reloadSignalsOfHost = make(chan os.Signal, 1)
+)
 
-// handleSignals makes the commands that run a host receive signals on hostSignals. It is the
-// first act of the process: until then a SIGTERM ends it with the signal's default action.
+// handleSignals makes the commands that run a host receive their signals. It is the first act of
+// the process: until then a SIGTERM ends it with the signal's default action.
 func handleSignals(args []string) {
 	if len(args) == 0 {
 		return
 	}
 	switch args[0] {
 	case "gateway":
-		signal.Notify(hostSignals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+		signal.Notify(reloadSignalsOfHost, syscall.SIGHUP)
 	case "serve":
-		signal.Notify(hostSignals, os.Interrupt, syscall.SIGTERM)
 	default:
 		return
 	}
+	signal.Notify(stopSignalsOfHost, os.Interrupt, syscall.SIGTERM)
 	// A write to a log whose reader has gone fails, and the line is counted as dropped.
 	signal.Ignore(syscall.SIGPIPE)
 }
 
-// stopRequested returns a stop signal that has arrived already, or nil. Requests to reload are
-// dropped: the settings have just been read.
-func stopRequested(signals <-chan os.Signal) os.Signal {
-	for {
-		select {
-		case sig := <-signals:
-			if sig != syscall.SIGHUP {
-				return sig
-			}
-		default:
-			return nil
-		}
+// stopRequested returns a stop signal that has arrived already, or nil.
+func stopRequested(stop <-chan os.Signal) os.Signal {
+	select {
+	case sig := <-stop:
+		return sig
+	default:
+		return nil
 	}
 }
 
--- a/cmd/pollentack/signals_test.go
+++ b/cmd/pollentack/signals_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,8 +15,15 @@
 )
 
 // TestStopBeforeStart sends SIGTERM to a gateway that is still reading its settings, from a pipe
-// that the test writes. The process must end by itself, without having served.
+// that the test writes. The process must end by itself, without having served. A SIGTERM that
+// follows several SIGHUPs must not be lost.
 func TestStopBeforeStart(t *testing.T) {
+	for _, hangups := range []int{0, 8} {
+		t.Run(fmt.Sprintf("after %d SIGHUPs", hangups), func(t *testing.T) { testStopBeforeStart(t, hangups) })
+	}
+}
+
+func testStopBeforeStart(t *testing.T, hangups int) {
 	dir := t.TempDir()
 	site, err := platformtest.StartSite(dir, platformtest.SiteConfig{
 		Hosts: 1, Zones: 2, Shards: 1, BasePort: freePortRange(t, platformtest.PortsPerHost),
@@ -43,12 +51,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	for range hangups {
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond) // lets it arrive before the next one
+	}
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(50 * time.Millisecond) // lets the signal arrive before the settings
 	_, _ = writer.Write(text)
 	_ = writer.Close()
+	timer := time.AfterFunc(gracefulStopTimeout, func() { _ = cmd.Process.Kill() })
+	defer timer.Stop()
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("the process ended with %v, want exit code 0\n%s", err, log.String())
 	}
