--- a/cmd/pollentack/start_test.go
+++ b/cmd/pollentack/start_test.go
@@ -196,3 +196,40 @@
 
 // metricsPort is the position of a gateway's port for operators among its ports.
 const metricsPort = 3
+
+// initPipeEnv is an environment variable with a pipe that a process opens and reads to its end
+// while its packages are initialized.
+const initPipeEnv = "POLLENTACK_TEST_INIT_PIPE"
+
+var _ = readInitPipe()
+
+func readInitPipe() error {
+	if path := os.Getenv(initPipeEnv); path != "" {
+		_, err := os.ReadFile(path)
+		return err
+	}
+	return nil
+}
+
+// TestHangupDuringInitializationDoesNotEndTheHost guards against a SIGHUP that ends a process whose
+// packages are still being initialized, before main could ask for the signal.
+func TestHangupDuringInitializationDoesNotEndTheHost(t *testing.T) {
+	pipe := filepath.Join(t.TempDir(), "pipe")
+	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	h := newGateway(t)
+	t.Setenv(initPipeEnv, pipe)
+	h.start(nil)
+	writer, err := os.OpenFile(pipe, os.O_WRONLY, 0) // waits until the process reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := h.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // lets the signal arrive before the end of the pipe
+	_ = writer.Close()
+	h.awaitServing()
+	h.stop()
+}
