--- a/cmd/pollentack/gateway.go
+++ b/cmd/pollentack/gateway.go
@@ -5,12 +5,10 @@
 	"fmt"
 	"io"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/logs"
 	"pollentack.example/pollentack/internal/edge/mesh"
 	"pollentack.example/pollentack/internal/edge/trace"
@@ -30,10 +28,6 @@
 // dialPeers replaces the function that dials peers unless it is nil.
 var dialPeers mesh.DialFunc
 
-// logQueueLines is the number of log lines buffered for standard output; further lines are
-// dropped.
-const logQueueLines = 4096
-
 // Run serves until SIGINT or SIGTERM, then shuts down gracefully. SIGHUP reloads the
 // settings file at once; without a signal, changes are detected by polling it every
 // settingsPollInterval.
@@ -46,31 +40,33 @@
 		return asUsageError(errors.New("no settings file: set --settings"))
 	}
 	file := &settingsFile{path: path}
+	if !cmd.Check {
+		return cmd.serve(file)
+	}
 	s, err := file.load()
 	if err != nil {
 		return asUsageError(err)
 	}
-	if cmd.Check {
-		fmt.Fprintf(stdout, "%s: settings of host %q in availability zone %q are valid\n", path, s.Host, s.Zone)
-		return nil
-	}
-	return cmd.serve(s, file)
+	fmt.Fprintf(stdout, "%s: settings of host %q in availability zone %q are valid\n", path, s.Host, s.Zone)
+	return nil
 }
 
-func (cmd *gatewayCmd) serve(s *gateway.Settings, file *settingsFile) error {
-	setSoftMemoryLimit(s)
-	logWriter := logs.NewAsyncWriter(os.Stdout, logQueueLines)
-	group, err := duty.NewGroup(1, func(string, error) {})
+func (cmd *gatewayCmd) serve(file *settingsFile) error {
+	logWriter, err := startHostLog(os.Stdout)
 	if err != nil {
 		return err
 	}
-	if err = group.Start(logWriter.Duty()); err != nil {
-		return err
+	defer logWriter.close()
+	log := logs.NewLimited(logWriter, cmd.LogLevel, cmd.LogLines)
+	log.Info().Str("event", "process_started").Int("pid", os.Getpid()).Str("settings", file.path).Send()
+	s, err := file.load()
+	if err != nil {
+		log.Error().Str("event", "settings_unusable").Err(err).Send()
+		return asUsageError(err)
 	}
-	defer group.Stop()
-	log := logs.NewLimited(logWriter, cmd.LogLevel, cmd.LogLines).With().
-		Str("host", s.Host).Str("availability_zone", s.Zone).Logger()
-	if sig := stopRequested(hostSignals); sig != nil {
+	setSoftMemoryLimit(s)
+	log = log.With().Str("host", s.Host).Str("availability_zone", s.Zone).Logger()
+	if sig := stopRequested(stopSignalsOfHost); sig != nil {
 		log.Info().Str("event", "stop_requested").Str("signal", sig.String()).Str("reason", "before the start").Send()
 		return nil
 	}
@@ -83,10 +79,10 @@
 		log.Error().Str("event", "start_failed").Err(err).Send()
 		return err
 	}
-	err = waitForStop(g, hostSignals, file, &log)
+	err = waitForStop(g, file, &log)
 	g.Stop()
 	err = errors.Join(err, tracer.Close())
-	log.Info().Str("event", "gateway_stopped").Uint64("log_lines_dropped", logWriter.Dropped()).Send()
+	log.Info().Str("event", "gateway_stopped").Err(err).Uint64("log_lines_dropped", logWriter.Dropped()).Send()
 	return err
 }
 
@@ -99,18 +95,16 @@
 
 // waitForStop reloads the settings on SIGHUP and on changes of the file. It returns nil on
 // SIGINT or SIGTERM, and an error if the gateway fails.
-func waitForStop(g *gateway.Gateway, signals <-chan os.Signal, file *settingsFile, log *zerolog.Logger) error {
+func waitForStop(g *gateway.Gateway, file *settingsFile, log *zerolog.Logger) error {
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
 	for {
 		select {
 		case <-poll.C:
 			file.reload(g, false, log)
-		case sig := <-signals:
-			if sig == syscall.SIGHUP {
-				file.reload(g, true, log)
-				continue
-			}
+		case <-reloadSignalsOfHost:
+			file.reload(g, true, log)
+		case sig := <-stopSignalsOfHost:
 			log.Info().Str("event", "stop_requested").Str("signal", sig.String()).Send()
 			return nil
 		case err := <-g.Failed():
--- a/cmd/pollentack/serve.go
+++ b/cmd/pollentack/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"os"
 
 	"github.com/rs/zerolog"
@@ -25,8 +26,13 @@
 	if err != nil {
 		return asUsageError(err)
 	}
-	log := newLogger(s)
-	if sig := stopRequested(hostSignals); sig != nil {
+	logWriter, err := startHostLog(os.Stderr)
+	if err != nil {
+		return err
+	}
+	defer logWriter.close()
+	log := newLogger(logWriter, s)
+	if sig := stopRequested(stopSignalsOfHost); sig != nil {
 		log.Info().Str("event", "stop_requested").Str("signal", sig.String()).Str("reason", "before the start").Send()
 		return nil
 	}
@@ -39,13 +45,13 @@
 		return err
 	}
 	select {
-	case sig := <-hostSignals:
+	case sig := <-stopSignalsOfHost:
 		log.Info().Str("event", "stop_requested").Str("signal", sig.String()).Send()
 	case <-n.DrainRequested():
 		log.Info().Str("event", "stop_requested").Str("operator", "drain").Send()
 	case err = <-n.Failed():
 	}
-	return errors.Join(err, stopNode(n, hostSignals, &log), tracer.Close())
+	return errors.Join(err, stopNode(n, stopSignalsOfHost, &log), tracer.Close())
 }
 
 // stopNode shuts the host down gracefully on a separate thread, so that a second signal can
@@ -72,8 +78,8 @@
 	return nil
 }
 
-func newLogger(s *settings.Settings) zerolog.Logger {
-	return logs.New(os.Stderr, s.Log.Level).With().
+func newLogger(out io.Writer, s *settings.Settings) zerolog.Logger {
+	return logs.New(out, s.Log.Level).With().
 		Str("host", s.Host.Name).Str("availability_zone", s.Host.Zone).Logger()
 }
 
