A rejected caller does not hold its connection for the idle timeout

What callers saw: on the front, a caller whose request was refused with 413 or 431 and that kept its connection open held it, with its descriptor and its 32 KB of the budget, for the idle timeout instead of half a second.

Cause: linger set its deadline through the tracked connection, which replaces every deadline by the idle timeout when the listener has one.

Evidence: TestLingeringEnds before: "the connection of a rejected caller is still open after 10s" (idle timeout of a minute).

The deadline is now set on the socket itself, as those of a shutdown are.

--- a/internal/edge/httpd/linger_test.go
+++ b/internal/edge/httpd/linger_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -65,3 +66,36 @@
 		})
 	}
 }
+
+// TestLingeringEnds guards against a rejected caller that keeps its connection open: it held the
+// connection for the idle timeout.
+func TestLingeringEnds(t *testing.T) {
+	const idleTimeout, tooLate = time.Minute, 10 * time.Second
+	s, err := Start("127.0.0.1:0", Options{MaxHeaderBytes: 4 << 10, IdleTimeout: func() time.Duration { return idleTimeout }}, func(*server.Hertz) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	c := dial(t, s)
+	if _, err := c.Write(append([]byte("GET / HTTP/1.1\r\nHost: h\r\nX-Long: "), bytes.Repeat([]byte("x"), 16<<10)...)); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Fatalf("status %d, want 431", resp.StatusCode)
+	}
+	open := func() int {
+		s.listener.mu.Lock()
+		defer s.listener.mu.Unlock()
+		return len(s.listener.conns)
+	}
+	for begin := time.Now(); open() > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Since(begin) > tooLate {
+			t.Fatalf("the connection of a rejected caller is still open after %v", tooLate)
+		}
+	}
+}
--- a/internal/edge/httpd/listener.go
+++ b/internal/edge/httpd/listener.go
@@ -214,7 +214,7 @@
 	if !ok || halfCloser.CloseWrite() != nil {
 		return
 	}
-	if c.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+	if c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return
 	}
 	// The caller's close, the timeout and the byte limit all end the lingering.
