Requests are bounded byte by byte while they arrive

What callers saw: clients that send heads without end, empty lines without end, or bodies that stop short of their end made a process run out of memory; while a hundred of them lasted, its one processor was busy for seconds.

Cause: the connection made room for exactly the byte that hertz asked for, and hertz asks for one byte more each time and parses the head anew, so that a head cost the square of its size in copies and garbage. Limits applied once a request was whole. Blocks of 4 KiB, the framing of chunks, blanks behind a chunk size and trailers were in no budget and had no end; the body in chunks was held up to three times, and the copies that the ingress thought it reserved were not, since hertz sets the length of a body in chunks once it has read it. No deadline applied to the first request of a connection, and over the budget whoever asked last was refused, whoever sat on it kept it.

The fix: a request is received as a whole below hertz. The pure core internal/core/intake sees each byte once: it enforces the published limits as the bytes arrive, removes the framing of chunks in place and gives the request a Content-Length, so that the content is held once. Buffers grow geometrically and are reserved before they are made. Over the budget the request that has stalled, else the largest that is not whole, gives way; requests that are whole and small ones do not depend on it. A head has header_timeout_ms, a body idle_timeout_ms between its bytes. Forms are no longer parsed into memory and files by any listener.

TestBufferedConnReadsWhatArrives drew raw bytes, which the connection does not hand out any more; it now draws requests and compares every byte that can be read of them, and that there is no other.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -70,7 +70,9 @@
 	// MaxHeaderBytes bounds the header without the request line.
 	MaxHeaderBytes int
 	MaxBodyBytes   int
-	IdleTimeout    time.Duration
+	// HeaderTimeout is the time in which a header has to arrive.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Config is a published configuration. It is created with NewConfig.
--- a/internal/edge/httpd/accept_test.go
+++ b/internal/edge/httpd/accept_test.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := newListener(&failingListener{Listener: inner}, nil)
+	l := newListener(&failingListener{Listener: inner}, (&Options{}).withDefaults())
 	client, err := net.Dial("tcp", inner.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/edge/httpd/buffered.go
+++ b/internal/edge/httpd/buffered.go
@@ -14,60 +14,48 @@
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
-	"pollentack.example/pollentack/internal/edge/memory"
+	"pollentack.example/pollentack/internal/core/intake"
 )
 
 // The connections of hertz keep a buffer of the size of their largest request for as long as they are
 // open. Those here keep a block, and take what a request needs beyond it from a budget.
 
-const (
-	// BlockBytes is the size of the blocks that are used again. A body that is longer and came with
-	// its length stays as it is once its request has ended.
-	BlockBytes = 4 << 10
-	// connectionBytes is what a connection costs beside the requests on it: its block, the stacks of
-	// its threads and the state that hertz keeps for it.
-	connectionBytes = 32 << 10
-	// reserveStep is the unit in which bytes of a request are reserved.
-	reserveStep = 16 << 10
-	// chunkedCopies is the memory that a byte of a body without a length takes: hertz copies it from
-	// the connection to a buffer that doubles when it is full.
-	chunkedCopies = 3
-)
+// BlockBytes is the size of the blocks that are used again. A body that is longer stays as it is once its
+// request has ended.
+const BlockBytes = 4 << 10
 
 var blocks = sync.Pool{New: func() any { return new([BlockBytes]byte) }}
 
 // bufferedConn is a connection of a caller, with the buffers that hertz reads from and writes to.
 type bufferedConn struct {
-	net.Conn
-	// budget is nil for a listener without one. overloaded is the response to a request that finds no
-	// room in it.
-	budget     *memory.Budget
-	overloaded []byte
-
-	// in[r:w] has been received and not read.
-	in   []byte
-	r, w int
+	*conn
+
+	// in[r:end] is the rest of the request, in[next:w] has been received behind it.
+	in              []byte
+	r, end, next, w int
 	// block is the block that in is, nil if in is larger. replaced are blocks that slices handed out
 	// since the last Release may still refer to.
 	block    *[BlockBytes]byte
 	replaced []*[BlockBytes]byte
-	// received counts the bytes since the last Release, reserved those taken from the budget. grown
-	// counts the buffers larger than a block: a body with a length needs one.
-	received, reserved, grown int
-	// requestRead states that the request has been read, so that what else is received is not its.
-	requestRead bool
-	// readErr is an error that came with the last bytes received.
-	readErr error
+	// reserved is what is reserved for in.
+	reserved int
+	request  intake.Request
+	// whole states that the request has been received, detecting that the connection is read only to
+	// detect its end.
+	whole, detecting bool
+	// partlyRead states that hertz has left a part of a request unread.
+	partlyRead bool
 
 	// out are the slices to write, of which the last one has room if outBlock is set.
 	out      [][]byte
 	outBlock []*[BlockBytes]byte
 }
 
-// errOverBudget ends a connection without a response of hertz: its own has been written.
-var errOverBudget = fmt.Errorf("no memory is left for the request: %w", hertzerrors.ErrNothingRead)
-
+// SetReadTimeout sets the time to wait for input. A request that was received needs none.
 func (c *bufferedConn) SetReadTimeout(t time.Duration) error {
+	if c.whole {
+		return nil
+	}
 	return c.SetReadDeadline(deadlineAfter(t))
 }
 
@@ -82,82 +70,23 @@
 	return time.Now().Add(t)
 }
 
-// Len returns the number of bytes that have been received and not read.
-func (c *bufferedConn) Len() int { return c.w - c.r }
+// Len returns the number of bytes of the request that have been received and not read.
+func (c *bufferedConn) Len() int { return c.end - c.r }
 
 // Peek returns the next n bytes without reading them. They are valid until Release.
 func (c *bufferedConn) Peek(n int) ([]byte, error) {
-	err := c.fill(n)
-	if n > c.Len() {
-		return c.in[c.r:c.w], err
+	if c.detecting {
+		return c.peekBehind()
 	}
-	return c.in[c.r : c.r+n], nil
-}
-
-// fill receives until n bytes are there.
-func (c *bufferedConn) fill(n int) error {
-	for c.Len() < n {
-		if err := c.readErr; err != nil {
-			c.readErr = nil
-			return err
-		}
-		if err := c.makeRoom(n); err != nil {
-			return err
-		}
-		m, err := c.Conn.Read(c.in[c.w:])
-		c.w += m
-		c.received += m
-		if m > 0 {
-			c.readErr = err
-			if c.grown > 1 {
-				err = c.reserve(chunkedCopies * c.received)
-			}
-		}
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// makeRoom makes room for n bytes from the first unread one on. Bytes that were handed out stay where
-// they are.
-func (c *bufferedConn) makeRoom(n int) error {
-	if len(c.in)-c.r >= n && c.w < len(c.in) {
-		return nil
-	}
-	unread := c.in[c.r:c.w]
-	if c.block != nil {
-		c.replaced = append(c.replaced, c.block)
-		c.block = nil
-	}
-	if n <= BlockBytes {
-		c.block = blocks.Get().(*[BlockBytes]byte)
-		c.in = c.block[:]
-	} else {
-		if err := c.reserve(n); err != nil {
-			return err
+	if !c.whole {
+		if err := c.receive(); err != nil {
+			return nil, err
 		}
-		c.in = make([]byte, n)
-		c.grown++
 	}
-	c.r, c.w = 0, copy(c.in, unread)
-	return nil
-}
-
-// reserve takes n bytes for the request from the budget. If they are not left, the caller is told so
-// and the connection ends.
-func (c *bufferedConn) reserve(n int) error {
-	if c.budget == nil || c.requestRead || n <= c.reserved {
-		return nil
-	}
-	n = (n - c.reserved + reserveStep - 1) / reserveStep * reserveStep
-	if !c.budget.Reserve(memory.Requests, n) {
-		_, _ = c.Conn.Write(c.overloaded)
-		return errOverBudget
+	if n > c.Len() {
+		return c.in[c.r:c.end], errFraming
 	}
-	c.reserved += n
-	return nil
+	return c.in[c.r : c.r+n], nil
 }
 
 // Skip reads n bytes that have been received.
@@ -194,38 +123,54 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
-	if err := c.fill(1); err != nil {
+	if _, err := c.Peek(1); err != nil {
 		return 0, err
 	}
-	n := copy(p, c.in[c.r:c.w])
+	n := copy(p, c.in[c.r:c.end])
 	c.r += n
 	return n, nil
 }
 
 // Release gives up what was read.
 func (c *bufferedConn) Release() error {
-	for _, b := range c.replaced {
-		blocks.Put(b)
+	if !c.whole {
+		return nil
 	}
-	c.replaced = c.replaced[:0]
-	if c.Len() == 0 {
-		if c.block != nil {
-			blocks.Put(c.block)
-		}
-		c.block, c.in, c.r, c.w = nil, nil, 0, 0
+	c.partlyRead = c.r != c.end
+	behind := c.in[c.next:c.w]
+	c.whole, c.detecting = false, false
+	if len(behind) == 0 || c.block == nil && len(behind) <= BlockBytes {
+		c.drop()
+	}
+	if len(behind) > 0 && c.in == nil {
+		c.block = blocks.Get().(*[BlockBytes]byte)
+		c.in = c.block[:]
+		c.w = copy(c.in, behind)
 	}
-	c.received, c.grown, c.requestRead = c.Len(), 0, false
-	c.releaseBudget()
+	c.releaseBlocks()
+	c.listener.answered(c.conn)
 	return nil
 }
 
-func (c *bufferedConn) releaseBudget() {
+// drop gives up the buffer and what is reserved for it.
+func (c *bufferedConn) drop() {
+	c.replaceBlock()
+	c.releaseBlocks()
+	c.in, c.r, c.end, c.next, c.w = nil, 0, 0, 0, 0
 	if c.reserved > 0 {
-		c.budget.Release(memory.Requests, c.reserved)
+		c.listener.shrink(c.conn, c.reserved)
 		c.reserved = 0
 	}
 }
 
+func (c *bufferedConn) releaseBlocks() {
+	for _, b := range c.replaced {
+		blocks.Put(b)
+	}
+	clear(c.replaced)
+	c.replaced = c.replaced[:0]
+}
+
 // Malloc returns n bytes that the next Flush writes.
 func (c *bufferedConn) Malloc(n int) ([]byte, error) {
 	if n > BlockBytes {
@@ -310,15 +255,13 @@
 
 // DetectConnectionClose begins to receive on another thread.
 func (c *sensingConn) DetectConnectionClose() {
-	c.buffered.requestRead = true
+	c.buffered.detecting = true
 	c.statefulConn.DetectConnectionClose()
 }
 
 // transporter is the standard transport of hertz with bufferedConn in place of its connections.
 type transporter struct {
 	network.Transporter
-	budget     *memory.Budget
-	overloaded []byte
 	// senses states that the context of a connection ends when its caller closes it.
 	senses bool
 }
@@ -330,10 +273,8 @@
 	return context.WithValue(context.Background(), acceptedKey{}, c)
 }
 
-func newTransporter(budget *memory.Budget, overloaded []byte) func(*config.Options) network.Transporter {
-	return func(o *config.Options) network.Transporter {
-		return &transporter{Transporter: standard.NewTransporter(o), budget: budget, overloaded: overloaded, senses: o.SenseClientDisconnection}
-	}
+func newTransporter(o *config.Options) network.Transporter {
+	return &transporter{Transporter: standard.NewTransporter(o), senses: o.SenseClientDisconnection}
 }
 
 // Listener returns the listener, nil until there is one.
@@ -347,12 +288,12 @@
 // ListenAndServe implements network.Transporter.
 func (t *transporter) ListenAndServe(onData network.OnData) error {
 	return t.Transporter.ListenAndServe(func(ctx context.Context, _ any) error {
-		accepted, ok := ctx.Value(acceptedKey{}).(net.Conn)
+		accepted, ok := ctx.Value(acceptedKey{}).(*conn)
 		if !ok {
 			return errors.New("connection was not accepted by the listener")
 		}
-		c := &bufferedConn{Conn: accepted, budget: t.budget, overloaded: t.overloaded}
-		defer c.releaseBudget()
+		c := &bufferedConn{conn: accepted}
+		defer c.drop()
 		if !t.senses {
 			return onData(ctx, c)
 		}
--- a/internal/edge/httpd/buffered_test.go
+++ b/internal/edge/httpd/buffered_test.go
@@ -21,18 +21,14 @@
 	"pollentack.example/pollentack/internal/edge/memory"
 )
 
-const (
-	largeBody = 200 << 10
-	// overloadedReply is what a request without room gets.
-	overloadedReply = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: 0.2\r\n\r\n"
-)
+const largeBody = 200 << 10
 
 // startBudgeted starts a server with a budget, whose handler answers with the length of the body once
 // hold is closed.
 func startBudgeted(t testing.TB, limit int64, hold <-chan struct{}) (*Server, *memory.Budget) {
 	t.Helper()
 	budget := memory.NewBudget(limit)
-	s, err := Start("127.0.0.1:0", Options{MaxBodyBytes: 1 << 20, Budget: budget, Overloaded: []byte(overloadedReply)}, func(h *server.Hertz) {
+	s, err := Start("127.0.0.1:0", Options{MaxBodyBytes: 1 << 20, Budget: budget}, func(h *server.Hertz) {
 		h.POST("/", func(_ context.Context, c *app.RequestContext) {
 			<-hold
 			c.String(http.StatusOK, fmt.Sprint(len(c.Request.Body())))
@@ -123,9 +119,9 @@
 // without room must be refused with a true answer at once, the others answered, and the room is free
 // again afterwards.
 func TestRequestsOverBudgetAreRefused(t *testing.T) {
-	const callers, room = 8, 3
+	const callers, room, slack = 8, 3, 16 << 10
 	hold := make(chan struct{})
-	s, budget := startBudgeted(t, (callers+1)*connectionBytes+room*(largeBody+reserveStep), hold)
+	s, budget := startBudgeted(t, (callers+1)*connectionBytes+room*(largeBody+slack), hold)
 	statuses := make(chan int, callers)
 	var wg sync.WaitGroup
 	for range callers {
@@ -200,54 +196,89 @@
 	return n, nil
 }
 
-// drawPieces draws data and the pieces in which it arrives.
-func drawPieces(t *rapid.T) (data []byte, conn *pieces) {
-	conn = &pieces{}
-	for _, n := range rapid.SliceOfN(rapid.IntRange(1, 3*BlockBytes), 1, 8).Draw(t, "pieces") {
-		piece := make([]byte, n)
-		for i := range piece {
-			piece[i] = byte((len(data) + i) * 31 >> 3)
+func (*pieces) SetReadDeadline(time.Time) error { return nil }
+
+func (*pieces) Close() error { return nil }
+
+// drawRequests draws requests as they are sent and as they are read, without the framing of chunks.
+func drawRequests(t *rapid.T) (sent []byte, read [][]byte) {
+	for range rapid.IntRange(1, 5).Draw(t, "requests") {
+		body := bytes.Repeat([]byte("0123456789abcdef\r\n"), BlockBytes)[:rapid.IntRange(0, 3*BlockBytes).Draw(t, "body")]
+		head := "POST / HTTP/1.1\r\nX-Pad: " + strings.Repeat("p", rapid.IntRange(0, 2*BlockBytes).Draw(t, "pad")) + "\r\n"
+		if !rapid.Bool().Draw(t, "chunked") {
+			request := fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+			sent, read = append(sent, request...), append(read, request)
+			continue
+		}
+		sent = append(sent, head+"Transfer-Encoding: chunked\r\n\r\n"...)
+		for rest := body; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "chunk")
+			sent = fmt.Appendf(sent, "%x\r\n%s\r\n", n, rest[:n])
+			rest = rest[n:]
 		}
-		data = append(data, piece...)
-		conn.left = append(conn.left, piece)
+		sent = append(sent, "0\r\nX-Trailer: t\r\n\r\n"...)
+		read = append(read, fmt.Appendf(nil, "%sContent-Length:%11d\r\n\r\n%s", head, len(body), body))
+	}
+	return sent, read
+}
+
+// drawPieces draws the pieces in which data arrives.
+func drawPieces(t *rapid.T, data []byte) *pieces {
+	conn := &pieces{}
+	for len(data) > 0 {
+		n := rapid.IntRange(1, min(len(data), 3*BlockBytes)).Draw(t, "piece")
+		conn.left = append(conn.left, data[:n])
+		data = data[n:]
 	}
-	return data, conn
+	return conn
 }
 
-// TestBufferedConnReadsWhatArrives draws pieces of data and reads in any order, and compares them with
-// the data. What Peek has returned must not change before Release.
+// TestBufferedConnReadsWhatArrives draws requests and the pieces in which they arrive, reads them in any
+// order, and compares them with what was sent. What Peek has returned must not change before Release.
 func TestBufferedConnReadsWhatArrives(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		data, conn := drawPieces(t)
-		c := &bufferedConn{Conn: conn, budget: memory.NewBudget(1 << 30)}
-		held := map[int][]byte{}
-		for at := 0; at < len(data); {
-			n := rapid.IntRange(1, min(len(data)-at, 2*BlockBytes)).Draw(t, "n")
-			got, err := readSome(t, c, n, at, held)
-			if err != nil || !bytes.Equal(got, data[at:at+len(got)]) {
-				t.Fatalf("read %d bytes at %d: %d bytes, %v", n, at, len(got), err)
-			}
-			at += len(got)
-			for from, peeked := range held {
-				if !bytes.Equal(peeked, data[from:from+len(peeked)]) {
-					t.Fatalf("what was peeked at %d is wrong or has changed", from)
-				}
-			}
+		sent, requests := drawRequests(t)
+		l := newListener(nil, (&Options{}).withDefaults())
+		c := &bufferedConn{conn: &conn{Conn: drawPieces(t, sent), listener: l, entry: l.table.Open(0)}}
+		for _, data := range requests {
+			readRequest(t, c, data)
+			_ = c.Release()
 		}
 		if _, err := c.Peek(1); err == nil {
 			t.Fatal("peek after the end succeeded")
 		}
-		_ = c.Release()
-		if u := c.budget.Usage(); u.Used != 0 {
-			t.Fatalf("%d bytes stay reserved", u.Used)
+		c.drop()
+		if u := l.options.Budget.Usage(); u.Parts["requests"] != 0 {
+			t.Fatalf("%d bytes stay reserved", u.Parts["requests"])
 		}
 	})
 }
 
+// readRequest reads a request in a drawn way and compares it with the data.
+func readRequest(t *rapid.T, c *bufferedConn, data []byte) {
+	held := map[int][]byte{}
+	for at := 0; at < len(data); {
+		n := rapid.IntRange(1, len(data)-at).Draw(t, "n")
+		got, err := readSome(t, c, n, at, held)
+		if err != nil || !bytes.Equal(got, data[at:at+len(got)]) {
+			t.Fatalf("read %d bytes at %d: %.60q, %v, want %.60q", n, at, got, err, data[at:])
+		}
+		at += len(got)
+		for from, peeked := range held {
+			if !bytes.Equal(peeked, data[from:from+len(peeked)]) {
+				t.Fatalf("what was peeked at %d is wrong or has changed", from)
+			}
+		}
+	}
+	if c.Len() != 0 {
+		t.Fatalf("%d bytes more than the request can be read", c.Len())
+	}
+}
+
 // readSome draws a way to read up to n bytes at an offset and returns what was read. held has what was
 // peeked since the last Release, by its offset.
 func readSome(t *rapid.T, c *bufferedConn, n, at int, held map[int][]byte) (got []byte, err error) {
-	switch rapid.SampledFrom([]string{"peek", "skip", "binary", "read", "release"}).Draw(t, "op") {
+	switch rapid.SampledFrom([]string{"peek", "skip", "binary", "read"}).Draw(t, "op") {
 	case "peek":
 		held[at], err = c.Peek(n)
 	case "skip":
@@ -258,13 +289,10 @@
 		}
 	case "binary":
 		got, err = c.ReadBinary(n)
-	case "read":
+	default:
 		got = make([]byte, n)
 		n, err = c.Read(got)
 		got = got[:n]
-	default:
-		err = c.Release()
-		clear(held)
 	}
 	return got, err
 }
@@ -287,3 +315,40 @@
 		})
 	}
 }
+
+// BenchmarkRequest reports what a request costs on a kept connection, with its caller in the same process.
+func BenchmarkRequest(b *testing.B) {
+	head := func(n int) string { return "POST / HTTP/1.1\r\nHost: h\r\nX-Pad: " + strings.Repeat("x", n) + "\r\n" }
+	chunks := func(size, total int) string {
+		return "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size)), total/size) + "0\r\n\r\n"
+	}
+	for _, bb := range []struct{ name, request string }{
+		{"head 0.1 KB", head(100) + "\r\n"},
+		{"head 4 KB", head(4<<10) + "\r\n"},
+		{"head 8 KB", head(8<<10) + "\r\n"},
+		{"head 15 KB", head(15<<10) + "\r\n"},
+		{"head 60 KB", head(60<<10) + "\r\n"},
+		{"body 1 KB", head(100) + "Content-Length: 1024\r\n\r\n" + strings.Repeat("x", 1<<10)},
+		{"body 1 MB", head(100) + "Content-Length: 1048576\r\n\r\n" + strings.Repeat("x", 1<<20)},
+		{"body 1 MB in chunks of 64 KB", head(100) + chunks(64<<10, 1<<20)},
+		{"body 1 MB in chunks of 1 byte", head(100) + chunks(1, 1<<20)},
+	} {
+		b.Run(bb.name, func(b *testing.B) {
+			s, _ := startBudgeted(b, 1<<30, closed())
+			c := dial(b, s)
+			r := bufio.NewReader(c)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := io.WriteString(c, bb.request); err != nil {
+					b.Fatal(err)
+				}
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil || resp.StatusCode != http.StatusOK {
+					b.Fatalf("response %+v, %v", resp, err)
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+		})
+	}
+}
--- a/internal/edge/httpd/closing_test.go
+++ b/internal/edge/httpd/closing_test.go
@@ -20,7 +20,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = socket.Close() }()
-	l := newListener(socket, nil)
+	l := newListener(socket, (&Options{}).withDefaults())
 	dial := func(request string) net.Conn {
 		caller, err := net.Dial("tcp", socket.Addr().String())
 		if err != nil {
--- /dev/null
+++ b/internal/edge/httpd/crowd_test.go
@@ -0,0 +1,135 @@
+package httpd
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+)
+
+// responseTo returns the status of the response on a connection, 0 if it ends without one.
+func responseTo(t *testing.T, c io.Reader) int {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// TestUnfinishedRequestsGiveWay guards against a crowd that sends all but the end of its requests and
+// stays: it used up the budget, and a body in chunks took memory beside it.
+func TestUnfinishedRequestsGiveWay(t *testing.T) {
+	const crowd, limit = 60, 14 << 20
+	for name, request := range map[string]string{
+		"length":       fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", largeBody, strings.Repeat("x", largeBody-1)),
+		"large chunks": "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s", largeBody, strings.Repeat("x", largeBody-1)),
+		"small chunks": "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nx\r\n", largeBody),
+		"head":         "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 60<<10),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, budget := startBudgeted(t, limit, closed())
+			for range crowd {
+				c := dial(t, s)
+				go func() { _, _ = io.WriteString(c, request) }()
+			}
+			if status, body := post(t, dial(t, s), 10, false); status != http.StatusOK {
+				t.Errorf("small request beside the crowd: status %d, %q", status, body)
+			}
+			// A large one may be refused while the crowd still sends.
+			for begin := time.Now(); ; time.Sleep(100 * time.Millisecond) {
+				status, body := post(t, dial(t, s), largeBody, true)
+				if status == http.StatusOK && body == fmt.Sprint(largeBody) {
+					break
+				}
+				if status != http.StatusServiceUnavailable || time.Since(begin) > 10*time.Second {
+					t.Fatalf("large request beside the crowd: status %d, %q", status, body)
+				}
+			}
+			if u := budget.Usage(); u.Peak > limit {
+				t.Errorf("budget %+v", u)
+			}
+		})
+	}
+}
+
+// TestSlowRequestIsRefused guards against a request that holds its connection for ever because its end
+// does not come.
+func TestSlowRequestIsRefused(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	s, err := Start("127.0.0.1:0", Options{
+		IdleTimeout: func() time.Duration { return timeout },
+		Limits: func() RequestLimits {
+			return RequestLimits{HeaderTimeout: timeout, FieldBytes: 1 << 10, BodyBytes: 1 << 10}
+		},
+	}, func(h *server.Hertz) {
+		h.Use(func(_ context.Context, c *app.RequestContext) { c.AbortWithStatus(http.StatusOK) })
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for _, tt := range []struct {
+		name, sent string
+		status     int
+	}{
+		{"nothing", "", http.StatusRequestTimeout},
+		{"empty line", "\r\n", http.StatusRequestTimeout},
+		{"head", "GET / HTTP/1.1\r\nHost", http.StatusRequestTimeout},
+		{"body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx", http.StatusRequestTimeout},
+		{"fields", "GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 1<<10), http.StatusRequestHeaderFieldsTooLarge},
+		{"announced body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1025\r\n\r\n", http.StatusRequestEntityTooLarge},
+		{"empty lines", strings.Repeat("\r\n", 100), http.StatusBadRequest},
+		{"whole", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", http.StatusOK},
+	} {
+		c := dial(t, s)
+		_, _ = io.WriteString(c, tt.sent)
+		if status := responseTo(t, c); status != tt.status {
+			t.Errorf("%s: status %d, want %d", tt.name, status, tt.status)
+		}
+	}
+}
+
+// TestInterimResponseBeforeBody checks that a caller that waits for it is told to send the body, and that
+// requests behind one another are answered each.
+func TestInterimResponseBeforeBody(t *testing.T) {
+	s, _ := startBudgeted(t, 1<<30, closed())
+	c := dial(t, s)
+	r := bufio.NewReader(c)
+	for _, head := range []string{"Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n"} {
+		_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"+head+"\r\n")
+		interim := make([]byte, len(interimContinue))
+		if _, err := io.ReadFull(r, interim); err != nil || !bytes.Equal(interim, interimContinue) {
+			t.Fatalf("%q, %v, want an interim response", interim, err)
+		}
+		body := "abc"
+		if strings.HasPrefix(head, "T") {
+			body = "3\r\nabc\r\n0\r\n\r\n"
+		}
+		_, _ = io.WriteString(c, body+"POST / HTTP/1.1\r\nHost: h\r\n\r\n")
+		for _, want := range []string{"3", "0"} {
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, _ := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if string(got) != want {
+				t.Errorf("body of %s bytes arrived, want %s", got, want)
+			}
+		}
+	}
+	if n := s.listener.options.Budget.Usage().Parts["requests"]; n != 0 {
+		t.Errorf("%d bytes stay reserved", n)
+	}
+}
--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -12,29 +13,113 @@
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 
+	"pollentack.example/pollentack/internal/core/intake"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/memory"
 )
 
 // Options configure a server.
 type Options struct {
-	// MaxBodyBytes is the maximum size of a request body.
+	// MaxBodyBytes is the maximum size of a request body; 0 means defaultMaxBodyBytes.
 	MaxBodyBytes int
-	// MaxHeaderBytes is the maximum size of a request header; 0 means the default of hertz.
+	// MaxHeaderBytes is the maximum size of a request line and header; 0 means defaultMaxHeaderBytes.
 	MaxHeaderBytes int
+	// Limits returns the current limits of requests, which apply beside the maximum sizes; nil means none.
+	Limits func() RequestLimits
 	// DetectDisconnect cancels the context of a handler when its caller closes the connection.
 	DetectDisconnect bool
-	// OmitDefaults omits the header fields that hertz adds by default and disables the parsing
-	// of multipart bodies.
+	// OmitDefaults omits the header fields that hertz adds by default.
 	OmitDefaults bool
 	// IdleTimeout returns the current idle timeout of connections. It may change while a
 	// connection is idle. nil means defaultIdleTimeout.
 	IdleTimeout func() time.Duration
-	// Budget bounds the memory of the connections and of the requests on them; nil means no bound. A
-	// connection that finds no room waits to be accepted, and a request is answered with Overloaded,
-	// the bytes of a response, after which its connection is closed.
-	Budget     *memory.Budget
-	Overloaded []byte
+	// Budget bounds the memory of the connections and of the requests on them; nil means
+	// defaultBudgetBytes. A connection that finds no room waits to be accepted.
+	Budget *memory.Budget
+	// Refuse returns the bytes of the response to a request that is refused before it is whole, after
+	// which its connection is closed; nil means a response without a body.
+	Refuse func(*intake.Refusal) []byte
+}
+
+// RequestLimits bound a request. Zero values mean no limit beside the maximum sizes and
+// defaultHeaderTimeout.
+type RequestLimits struct {
+	// FieldBytes bounds the header without the request line.
+	FieldBytes int
+	BodyBytes  int
+	// HeaderTimeout is the time in which a header has to arrive from its first byte on.
+	HeaderTimeout time.Duration
+}
+
+// Limits are those of the next request on a connection.
+type Limits struct {
+	intake.Limits
+	HeaderTimeout time.Duration
+	idleTimeout   time.Duration
+}
+
+const (
+	defaultMaxBodyBytes   = 4 << 20
+	defaultMaxHeaderBytes = 64 << 10
+	defaultHeaderTimeout  = 10 * time.Second
+	defaultBudgetBytes    = 256 << 20
+)
+
+// withDefaults returns the options with the default of each that is not set.
+func (o *Options) withDefaults() *Options {
+	out := *o
+	if out.MaxBodyBytes == 0 {
+		out.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if out.MaxHeaderBytes == 0 {
+		out.MaxHeaderBytes = defaultMaxHeaderBytes
+	}
+	if out.Budget == nil {
+		out.Budget = memory.NewBudget(defaultBudgetBytes)
+	}
+	return &out
+}
+
+// limits returns the limits of the next request.
+func (l *listener) limits() Limits {
+	o := l.options
+	out := Limits{
+		Limits:        intake.Limits{HeadBytes: o.MaxHeaderBytes, BodyBytes: o.MaxBodyBytes},
+		HeaderTimeout: defaultHeaderTimeout, idleTimeout: defaultIdleTimeout,
+	}
+	if o.IdleTimeout != nil {
+		out.idleTimeout = o.IdleTimeout()
+	}
+	if o.Limits == nil {
+		return out
+	}
+	current := o.Limits()
+	out.FieldBytes = current.FieldBytes
+	if current.BodyBytes > 0 {
+		out.BodyBytes = min(out.BodyBytes, current.BodyBytes)
+	}
+	if current.HeaderTimeout > 0 {
+		out.HeaderTimeout = current.HeaderTimeout
+	}
+	return out
+}
+
+// statuses are those of the responses to refused requests.
+var statuses = [intake.ReasonCount]int{
+	intake.Malformed:    http.StatusBadRequest,
+	intake.HeadTooLarge: http.StatusRequestHeaderFieldsTooLarge,
+	intake.BodyTooLarge: http.StatusRequestEntityTooLarge,
+	intake.TooSlow:      http.StatusRequestTimeout,
+	intake.NoRoom:       http.StatusServiceUnavailable,
+}
+
+// response returns the response to a refused request.
+func (l *listener) response(r *intake.Refusal) []byte {
+	if l.options.Refuse != nil {
+		return l.options.Refuse(r)
+	}
+	status := statuses[r.Reason]
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
 }
 
 // Server is an HTTP server with one listener.
@@ -68,12 +153,12 @@
 // Serve serves the routes that register adds on socket, which the server closes when it stops.
 func Serve(socket net.Listener, options Options, register func(*server.Hertz)) (*Server, error) {
 	address := socket.Addr().String()
-	listener := newListener(socket, options.IdleTimeout)
-	listener.budget = options.Budget
+	options = *options.withDefaults()
+	listener := newListener(socket, &options)
 	silenceHertzLog()
 	hertzOptions := []config.Option{
 		server.WithListener(listener),
-		server.WithTransport(newTransporter(options.Budget, options.Overloaded)),
+		server.WithTransport(newTransporter),
 		server.WithOnAccept(withAccepted),
 		server.WithMaxRequestBodySize(options.MaxBodyBytes),
 		server.WithMaxKeepBodySize(BlockBytes),
@@ -81,13 +166,13 @@
 		server.WithIdleTimeout(defaultIdleTimeout),
 		server.WithExitWaitTime(CloseTimeout),
 		server.WithDisablePrintRoute(true),
-	}
-	if options.MaxHeaderBytes > 0 {
-		hertzOptions = append(hertzOptions, server.WithMaxHeaderBytes(options.MaxHeaderBytes))
+		server.WithMaxHeaderBytes(options.MaxHeaderBytes),
+		// Forms would be copied to memory and files beside the budget.
+		server.WithDisablePreParseMultipartForm(true),
 	}
 	if options.OmitDefaults {
 		hertzOptions = append(hertzOptions, server.WithDisableDefaultDate(true), server.WithDisableDefaultContentType(true),
-			server.WithDisablePreParseMultipartForm(true), config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }})
+			config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }})
 	}
 	hertzOptions = append(hertzOptions, server.WithSenseClientDisconnection(options.DetectDisconnect))
 	h := server.New(hertzOptions...)
@@ -111,6 +196,9 @@
 // Address returns the host and port that the server listens on.
 func (s *Server) Address() string { return s.address }
 
+// Stats returns the counters of the server.
+func (s *Server) Stats() Stats { return s.listener.stats() }
+
 // Close stops listening and waits at most CloseTimeout for the requests in progress.
 func (s *Server) Close() { s.group.Stop() }
 
--- a/internal/edge/httpd/listener.go
+++ b/internal/edge/httpd/listener.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"pollentack.example/pollentack/internal/core/intake"
 	"pollentack.example/pollentack/internal/edge/memory"
 	"pollentack.example/pollentack/internal/edge/sockpeek"
 )
@@ -23,23 +24,37 @@
 	maxLingerBytes = 1 << 20
 )
 
-// listener tracks its connections, so that a shutdown can close idle keep-alive connections
-// instead of waiting for them.
+const (
+	// connectionBytes is what a connection costs beside the requests on it: its block, the stacks of
+	// its threads and the state that hertz keeps for it.
+	connectionBytes = 32 << 10
+	// headCopies is the number of copies of a head that hertz keeps until its connection is closed.
+	headCopies = 3
+)
+
+// listener tracks its connections, so that it can bound what they hold together, and a shutdown can close
+// idle keep-alive connections instead of waiting for them.
 type listener struct {
 	net.Listener
+	options *Options
 	// idleTimeout returns how long a connection may wait for its next request. If it is nil,
 	// the read deadlines that hertz sets apply unchanged.
 	idleTimeout func() time.Duration
-	// budget bounds the memory of the connections; nil means no bound.
-	budget *memory.Budget
+	started     time.Time
 
-	mu      sync.Mutex
-	conns   map[*conn]struct{}
-	closing bool
+	mu sync.Mutex
+	// released is signaled when bytes or a connection are given up.
+	released *sync.Cond
+	table    *intake.Table
+	conns    map[*intake.Connection]*conn
+	closing  bool
+	refusals [intake.ReasonCount]uint64
 }
 
-func newListener(l net.Listener, idleTimeout func() time.Duration) *listener {
-	return &listener{Listener: l, idleTimeout: idleTimeout, conns: map[*conn]struct{}{}}
+func newListener(l net.Listener, o *Options) *listener {
+	x := &listener{Listener: l, options: o, idleTimeout: o.IdleTimeout, started: time.Now(), table: intake.NewTable(), conns: map[*intake.Connection]*conn{}}
+	x.released = sync.NewCond(&x.mu)
+	return x
 }
 
 // acceptRetryDelay is the wait after a failed accept before the next one.
@@ -56,40 +71,146 @@
 		c, err = l.Listener.Accept()
 	}
 	if err != nil {
-		l.release()
+		l.options.Budget.Release(memory.Connections, connectionBytes)
 		return nil, err //nolint:wrapcheck // hertz compares it
 	}
 	tracked := &conn{Conn: c, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	tracked.entry = l.table.Open(l.now())
+	l.conns[tracked.entry] = tracked
 	if l.closing {
 		_ = c.SetReadDeadline(expired)
+		return tracked, nil
+	}
+	// hertz sets a deadline only for the requests after the first.
+	now := time.Now()
+	if l.idleTimeout != nil {
+		tracked.waitingSince = now
 	}
-	l.conns[tracked] = struct{}{}
+	_ = c.SetReadDeadline(now.Add(l.limits().idleTimeout))
 	return tracked, nil
 }
 
 // awaitRoom waits until the budget has room for a connection, or the listener is closing. New
 // connections wait in the queue of the socket meanwhile.
 func (l *listener) awaitRoom() {
-	for l.budget != nil && !l.budget.Reserve(memory.Connections, connectionBytes) {
+	for !l.options.Budget.Reserve(memory.Connections, connectionBytes) {
 		l.mu.Lock()
 		closing := l.closing
 		l.mu.Unlock()
 		if closing {
 			// What is accepted now is closed at once.
-			l.budget.Force(memory.Connections, connectionBytes)
+			l.options.Budget.Force(memory.Connections, connectionBytes)
 			return
 		}
 		time.Sleep(acceptRetryDelay)
 	}
 }
 
-// release returns what awaitRoom has reserved.
-func (l *listener) release() {
-	if l.budget != nil {
-		l.budget.Release(memory.Connections, connectionBytes)
+func (l *listener) now() time.Duration { return time.Since(l.started) }
+
+// received records that a part of a request has arrived.
+func (l *listener) received(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Received(c.entry, l.now())
+}
+
+// grow reserves n more bytes for a request that is not whole, and reports whether they were left. It
+// waits for those of a request that gives way.
+func (l *listener) grow(c *conn, n int) bool {
+	budget := l.options.Budget
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for {
+		free := budget.Reserve(memory.Requests, n)
+		room, victim := l.table.Grow(c.entry, n, budget.Limit(), free, l.now())
+		if room == intake.Granted {
+			c.held += n
+			l.table.Hold(c.entry, c.held)
+			return true
+		}
+		if free {
+			budget.Release(memory.Requests, n)
+		}
+		if room == intake.Denied {
+			return false
+		}
+		if victim != nil {
+			l.interrupt(victim)
+		}
+		l.released.Wait()
+	}
+}
+
+// shrink gives up n bytes of a request.
+func (l *listener) shrink(c *conn, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.options.Budget.Release(memory.Requests, n)
+	c.held -= n
+	l.table.Hold(c.entry, c.held)
+	l.released.Broadcast()
+}
+
+// interrupt ends the reads of a connection that gives way, so that its thread closes it.
+func (l *listener) interrupt(victim *intake.Connection) {
+	_ = l.conns[victim].Conn.SetReadDeadline(expired)
+	l.released.Broadcast()
+}
+
+// whole records that a request has arrived. It returns false if the connection has to give way.
+func (l *listener) whole(c *conn, headBytes int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if kept := headCopies * headBytes; headBytes > BlockBytes && kept > c.headKept {
+		if !l.options.Budget.Reserve(memory.Connections, kept-c.headKept) {
+			return false
+		}
+		c.headKept = kept
+	}
+	return l.table.Whole(c.entry)
+}
+
+// answered records that the request was answered.
+func (l *listener) answered(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Answered(c.entry, l.now())
+}
+
+func (l *listener) isGivingWay(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.entry.Closing()
+}
+
+// refused records that a request was refused, and reports whether its connection may linger.
+func (l *listener) refused(c *conn, r intake.Reason) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refusals[r]++
+	lingers := !c.entry.Closing()
+	l.table.GiveWay(c.entry)
+	return lingers
+}
+
+// Stats are the counters of a listener.
+type Stats struct {
+	Connections int `json:"connections"`
+	// Refused counts the requests that were refused before they were whole, by reason.
+	Refused map[string]uint64 `json:"refused"`
+}
+
+func (l *listener) stats() Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := Stats{Connections: l.table.Len(), Refused: map[string]uint64{}}
+	for r, n := range l.refusals {
+		s.Refused[intake.Reason(r).String()] = n
 	}
+	return s
 }
 
 // expired is a read deadline in the past.
@@ -102,7 +223,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closing = true
-	for c := range l.conns {
+	for _, c := range l.conns {
 		_ = c.Conn.SetReadDeadline(expired)
 	}
 }
@@ -112,7 +233,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closing = true
-	for c := range l.conns {
+	for _, c := range l.conns {
 		_ = c.Conn.Close()
 	}
 }
@@ -121,6 +242,12 @@
 type conn struct {
 	net.Conn
 	listener *listener
+	entry    *intake.Connection
+	// held are the bytes reserved for the request, headKept those for what hertz keeps of heads.
+	held, headKept int
+	// receiving states that the read deadline is that of a request of which a part has arrived,
+	// extended that it was extended because more had arrived unread.
+	receiving, extended bool
 	// waitingSince is when the current read deadline was set, zero if there is none or the
 	// listener has no idleTimeout.
 	waitingSince time.Time
@@ -135,9 +262,9 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	now := time.Now()
-	c.waitingSince = time.Time{}
+	c.waitingSince, c.receiving, c.extended = time.Time{}, false, false
 	switch {
-	case c.listener.closing:
+	case c.listener.closing || c.entry.Closing():
 		t = expired
 	case c.listener.idleTimeout != nil && t.After(now):
 		c.waitingSince = now
@@ -146,6 +273,17 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// setReceiveDeadline sets the read deadline for a request of which a part has arrived.
+func (c *conn) setReceiveDeadline(t time.Time) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.waitingSince, c.receiving = time.Time{}, true
+	if !c.listener.closing && !c.entry.Closing() && !c.extended {
+		// Read fails too if it cannot be set.
+		_ = c.Conn.SetReadDeadline(t)
+	}
+}
+
 // Read reads from the connection. If the deadline expires and the idle timeout was raised
 // after the deadline was set, it continues to wait.
 func (c *conn) Read(b []byte) (int, error) {
@@ -170,7 +308,14 @@
 func (c *conn) extendReadDeadline() bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	if c.listener.closing {
+	switch {
+	case c.entry.Closing():
+		return false
+	case c.receiving && !c.extended:
+		// What has arrived while the process was held up is in time.
+		c.extended = true
+		return sockpeek.Peek(c.Conn) == nil && c.Conn.SetReadDeadline(time.Now().Add(arrivedRequestTimeout)) == nil
+	case c.listener.closing:
 		return sockpeek.Peek(c.Conn) == nil && c.Conn.SetReadDeadline(time.Now().Add(arrivedRequestTimeout)) == nil
 	}
 	if c.waitingSince.IsZero() {
@@ -227,12 +372,14 @@
 	if c.requestUnread.Load() {
 		c.linger()
 	}
-	c.listener.mu.Lock()
-	_, open := c.listener.conns[c]
-	delete(c.listener.conns, c)
-	c.listener.mu.Unlock()
-	if open {
-		c.listener.release()
+	l := c.listener
+	l.mu.Lock()
+	if _, open := l.conns[c.entry]; open {
+		delete(l.conns, c.entry)
+		l.table.Close(c.entry)
+		l.options.Budget.Release(memory.Connections, connectionBytes+c.headKept)
+		l.released.Broadcast()
 	}
+	l.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -18,6 +18,7 @@
 
 	"pollentack.example/pollentack/internal/core/catalog"
 	"pollentack.example/pollentack/internal/core/decision"
+	"pollentack.example/pollentack/internal/core/intake"
 	"pollentack.example/pollentack/internal/core/relay"
 	"pollentack.example/pollentack/internal/core/result"
 	"pollentack.example/pollentack/internal/edge/await"
@@ -48,7 +49,6 @@
 // Server is the HTTP server for callers of routed requests.
 type Server struct {
 	codec      Codec
-	budget     *memory.Budget
 	submit     func(relay.Event) bool
 	notify     func(relay.Event) bool
 	waiters    *await.Waiters[relay.Answer]
@@ -65,11 +65,12 @@
 // false if the relay has no room; notify passes other events. waiters delivers the relay's
 // answers, and record logs the requests that are refused before they reach the relay.
 func Start(address string, codec Codec, budget *memory.Budget, waiters *await.Waiters[relay.Answer], submit, notify func(relay.Event) bool, record func(*decision.Record), tracer *trace.Tracer, clk sysclock.Clock) (*Server, error) {
-	s := &Server{codec: codec, budget: budget, submit: submit, notify: notify, waiters: waiters, record: record, tracer: tracer, clock: clk}
+	s := &Server{codec: codec, submit: submit, notify: notify, waiters: waiters, record: record, tracer: tracer, clock: clk}
 	s.limits.Store(&catalog.Limits{})
 	options := httpd.Options{
 		MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes,
-		DetectDisconnect: true, OmitDefaults: true, IdleTimeout: s.idleTimeout, Budget: budget, Overloaded: s.overloaded(),
+		DetectDisconnect: true, OmitDefaults: true, IdleTimeout: s.idleTimeout, Limits: s.requestLimits,
+		Budget: budget, Refuse: s.refuseUnread,
 	}
 	httpServer, err := httpd.Start(address, options, func(h *server.Hertz) { h.Use(s.serve) })
 	if err != nil {
@@ -91,6 +92,9 @@
 // InProgress returns the number of requests that have been read and not answered.
 func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
 
+// Stats returns the counters of the connections.
+func (s *Server) Stats() httpd.Stats { return s.server.Stats() }
+
 // Close stops listening, waits a bounded time for the requests in progress and closes the
 // connections.
 func (s *Server) Close() { s.server.Close() }
@@ -120,7 +124,7 @@
 	}
 }
 
-// handle checks the limits, decodes the request and returns its answer. A panic ends only this
+// handle decodes the request and returns its answer. A panic ends only this
 // request, whose outcome is then unknown.
 func (s *Server) handle(ctx context.Context, c *app.RequestContext, arrivedAt time.Duration) (answer relay.Answer) {
 	defer func() {
@@ -128,21 +132,15 @@
 			answer = s.refuse("", result.OutcomeUnknown, fmt.Sprintf("panic: %v\n%s", v, debug.Stack()))
 		}
 	}()
-	limits := s.limits.Load()
-	if size := len(c.Request.Header.RawHeaders()); limits.MaxHeaderBytes > 0 && size > limits.MaxHeaderBytes {
-		return s.refuse("", result.HeaderTooLarge, fmt.Sprintf("header of %d bytes exceeds the limit of %d", size, limits.MaxHeaderBytes))
-	}
-	if limits.MaxBodyBytes > 0 && len(c.Request.Body()) > limits.MaxBodyBytes {
-		return s.refuse("", result.BodyTooLarge, fmt.Sprintf("body of %d bytes exceeds the limit of %d", len(c.Request.Body()), limits.MaxBodyBytes))
-	}
 	request, err := s.codec.DecodeRequest(&c.Request)
 	if err != nil {
 		return s.refuse("", result.BadRequest, err.Error())
 	}
-	if !s.ownBody(request, c.Request.Header.ContentLength()) {
-		return s.refuse(request.ID, result.QueueFull, "no memory is left for the body")
+	// The server's buffers are used again once the request has been answered, while an attempt may still
+	// send the body; only a long one is left alone.
+	if len(request.Body) <= httpd.BlockBytes {
+		request.Body = bytes.Clone(request.Body)
 	}
-	defer s.releaseBody(request, c.Request.Header.ContentLength())
 	request.ArrivedAt = arrivedAt
 	span := s.tracer.Start(c.Request.Header.Get(trace.TraceParentHeader), "request", attribute.String("request", request.ID))
 	request.TraceParent = span.TraceParent()
@@ -151,35 +149,29 @@
 	return answer
 }
 
-// ownBody has the request own its body, and reports whether there is memory for it. The server's
-// buffers are used again once the request has been answered, while an attempt may still send the body;
-// only a long one that came with its length is left alone.
-func (s *Server) ownBody(request *relay.Request, contentLength int) bool {
-	if contentLength > httpd.BlockBytes {
-		return true
-	}
-	if contentLength < 0 && !s.budget.Reserve(memory.Requests, bodyCopies*len(request.Body)) {
-		return false
-	}
-	request.Body = bytes.Clone(request.Body)
-	return true
+// requestLimits returns the published limits of requests.
+func (s *Server) requestLimits() httpd.RequestLimits {
+	l := s.limits.Load()
+	return httpd.RequestLimits{FieldBytes: l.MaxHeaderBytes, BodyBytes: l.MaxBodyBytes, HeaderTimeout: l.HeaderTimeout}
 }
 
-// releaseBody returns what ownBody has reserved.
-func (s *Server) releaseBody(request *relay.Request, contentLength int) {
-	if contentLength < 0 {
-		s.budget.Release(memory.Requests, bodyCopies*len(request.Body))
-	}
+// unreadCodes are the codes of requests that are refused before they are whole.
+var unreadCodes = [intake.ReasonCount]result.Code{
+	intake.Malformed:    result.BadRequest,
+	intake.HeadTooLarge: result.HeaderTooLarge,
+	intake.BodyTooLarge: result.BodyTooLarge,
+	intake.TooSlow:      result.DeadlineTooShort,
+	intake.NoRoom:       result.QueueFull,
 }
 
-// bodyCopies is the number of copies of a body without a length beside the bytes received: that of
-// hertz and the request's own.
-const bodyCopies = 2
-
-// overloaded returns the bytes of the response to a request that there is no memory for.
-func (s *Server) overloaded() []byte {
+// refuseUnread logs a request that is refused before it is whole and returns the bytes of its answer.
+func (s *Server) refuseUnread(r *intake.Refusal) []byte {
+	answer := s.refuse("", unreadCodes[r.Reason], r.Detail)
+	if answer.Code == result.QueueFull {
+		answer.RetryAfter = queueFullRetryAfter
+	}
 	var response protocol.Response
-	s.codec.EncodeAnswer(&relay.Answer{Code: result.QueueFull, RetryAfter: queueFullRetryAfter}, &response)
+	s.codec.EncodeAnswer(&answer, &response)
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n", response.StatusCode(), http.StatusText(response.StatusCode()))
 	response.Header.VisitAll(func(name, value []byte) {
 		switch string(name) {
--- a/internal/edge/memory/budget.go
+++ b/internal/edge/memory/budget.go
@@ -40,6 +40,13 @@
 	b.limit = limit
 }
 
+// Limit returns the limit.
+func (b *Budget) Limit() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limit
+}
+
 // Reserve reserves n bytes for a part, and reports whether they were left.
 func (b *Budget) Reserve(p Part, n int) bool {
 	b.mu.Lock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"pollentack.example/pollentack/internal/core/decision"
 	"pollentack.example/pollentack/internal/core/relay"
+	"pollentack.example/pollentack/internal/edge/httpd"
 	"pollentack.example/pollentack/internal/edge/memory"
 	"pollentack.example/pollentack/internal/ring"
 )
@@ -83,6 +84,7 @@
 	AttemptLatency LatencySummary `json:"attempt_latency"`
 	Connections    uint64         `json:"connections_made"`
 	Memory         memory.Usage   `json:"memory"`
+	Callers        httpd.Stats    `json:"callers"`
 	ReplyMemory    ReplyMemory    `json:"reply_memory"`
 	StoreCalls     uint64         `json:"store_calls"`
 	StoreFailures  uint64         `json:"store_failures"`
@@ -99,6 +101,7 @@
 		AttemptLatency: g.latency.summary(g.latency.attempts),
 		Connections:    g.client.Dials(),
 		Memory:         g.budget.Usage(),
+		Callers:        g.ingress.Stats(),
 		ReplyMemory:    ReplyMemory{Limit: g.settings.replyBytes(), Used: g.client.ReplyBytes()},
 		StoreCalls:     g.discovery.store.Calls(), StoreFailures: g.discovery.store.FailedCalls(),
 		Rings: []ring.Stats{g.relay.inbox.Stats(), g.upstream.inbox.Stats(), g.discovery.inbox.Stats()},
