A new connection takes the place of one that sends no request

What callers saw: behind a crowd that opens connections and sends nothing, or stops in a head or body, nobody else was accepted as long as the crowd stayed.

Cause: a connection that found no room in the budget waited in the accept loop for another one to end, and nothing ended one that sends no request.

Evidence: TestSilentConnectionsGiveWay before: "status 0, read tcp: i/o timeout behind the crowd" after 10 s, with a crowd that sends nothing, half a head, or a head that waits for an interim response. It passes now.

The fix: the connection is accepted, and the table of the listener names the one that gives way: without an answer for longest, never one whose request is being answered, first those that never sent a whole request. The thread of the victim closes it and gives back its bytes before the new one is served, so that the budget holds.

--- a/internal/edge/httpd/crowd_test.go
+++ b/internal/edge/httpd/crowd_test.go
@@ -133,3 +133,28 @@
 		t.Errorf("%d bytes stay reserved", n)
 	}
 }
+
+// TestSilentConnectionsGiveWay guards against callers that wait for ever to be accepted behind a crowd that
+// takes up the room for connections and sends no request.
+func TestSilentConnectionsGiveWay(t *testing.T) {
+	const crowd = 20
+	for name, sent := range map[string]string{
+		"nothing":   "",
+		"head":      "GET / HTTP/1.1\r\nHost: h",
+		"unread":    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\nExpect: 100-continue\r\n\r\n",
+		"two bytes": "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, budget := startBudgeted(t, crowd*connectionBytes+200, closed())
+			for range crowd + 2 {
+				_, _ = io.WriteString(dial(t, s), sent)
+			}
+			if status, body := post(t, dial(t, s), 10, false); status != http.StatusOK {
+				t.Errorf("status %d, %q behind the crowd", status, body)
+			}
+			if u, stats := budget.Usage(), s.Stats(); u.Peak > u.Limit || stats.Displaced == 0 {
+				t.Errorf("budget %+v, counters %+v", u, stats)
+			}
+		})
+	}
+}
--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -34,8 +34,12 @@
 	// connection is idle. nil means defaultIdleTimeout.
 	IdleTimeout func() time.Duration
 	// Budget bounds the memory of the connections and of the requests on them; nil means
-	// defaultBudgetBytes. A connection that finds no room waits to be accepted.
+	// defaultBudgetBytes. A connection that finds no room takes the place of one that sends no request,
+	// or waits.
 	Budget *memory.Budget
+	// Displaced is called when a connection has to make room for a new one; nil means not. It must not
+	// block.
+	Displaced func()
 	// Refuse returns the bytes of the response to a request that is refused before it is whole, after
 	// which its connection is closed; nil means a response without a body.
 	Refuse func(*intake.Refusal) []byte
--- a/internal/edge/httpd/listener.go
+++ b/internal/edge/httpd/listener.go
@@ -49,6 +49,8 @@
 	conns    map[*intake.Connection]*conn
 	closing  bool
 	refusals [intake.ReasonCount]uint64
+	// displaced counts the connections that gave way to new ones.
+	displaced uint64
 }
 
 func newListener(l net.Listener, o *Options) *listener {
@@ -64,16 +66,15 @@
 // closing, a request that has arrived on it is still served. It fails only once the listener is
 // closed: hertz ends its loop on any error, and an accept also fails for want of descriptors.
 func (l *listener) Accept() (net.Conn, error) {
-	l.awaitRoom()
 	c, err := l.Listener.Accept()
 	for err != nil && !errors.Is(err, net.ErrClosed) {
 		time.Sleep(acceptRetryDelay)
 		c, err = l.Listener.Accept()
 	}
 	if err != nil {
-		l.options.Budget.Release(memory.Connections, connectionBytes)
 		return nil, err //nolint:wrapcheck // hertz compares it
 	}
+	l.awaitRoom()
 	tracked := &conn{Conn: c, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -92,19 +93,32 @@
 	return tracked, nil
 }
 
-// awaitRoom waits until the budget has room for a connection, or the listener is closing. New
-// connections wait in the queue of the socket meanwhile.
+// awaitRoom waits until there is room for the connection that was accepted, or the listener is closing.
+// Another one may have to give way. Further connections wait in the queue of the socket meanwhile.
 func (l *listener) awaitRoom() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for !l.options.Budget.Reserve(memory.Connections, connectionBytes) {
-		l.mu.Lock()
-		closing := l.closing
-		l.mu.Unlock()
-		if closing {
-			// What is accepted now is closed at once.
+		if l.closing {
+			// What has arrived on it is still served.
 			l.options.Budget.Force(memory.Connections, connectionBytes)
 			return
 		}
+		victim, wait := l.table.Displace(l.now())
+		if victim != nil {
+			l.displaced++
+			l.interrupt(victim)
+			if l.options.Displaced != nil {
+				l.options.Displaced()
+			}
+		}
+		if wait {
+			l.released.Wait()
+			continue
+		}
+		l.mu.Unlock()
 		time.Sleep(acceptRetryDelay)
+		l.mu.Lock()
 	}
 }
 
@@ -154,9 +168,9 @@
 	l.released.Broadcast()
 }
 
-// interrupt ends the reads of a connection that gives way, so that its thread closes it.
+// interrupt ends what the thread of a connection that gives way waits for, so that it closes it.
 func (l *listener) interrupt(victim *intake.Connection) {
-	_ = l.conns[victim].Conn.SetReadDeadline(expired)
+	_ = l.conns[victim].SetDeadline(expired)
 	l.released.Broadcast()
 }
 
@@ -201,12 +215,14 @@
 	Connections int `json:"connections"`
 	// Refused counts the requests that were refused before they were whole, by reason.
 	Refused map[string]uint64 `json:"refused"`
+	// Displaced counts the connections that were closed to make room for new ones.
+	Displaced uint64 `json:"displaced"`
 }
 
 func (l *listener) stats() Stats {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := Stats{Connections: l.table.Len(), Refused: map[string]uint64{}}
+	s := Stats{Connections: l.table.Len(), Displaced: l.displaced, Refused: map[string]uint64{}}
 	for r, n := range l.refusals {
 		s.Refused[intake.Reason(r).String()] = n
 	}
@@ -223,6 +239,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closing = true
+	l.released.Broadcast()
 	for _, c := range l.conns {
 		_ = c.Conn.SetReadDeadline(expired)
 	}
@@ -233,6 +250,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closing = true
+	l.released.Broadcast()
 	for _, c := range l.conns {
 		_ = c.Conn.Close()
 	}
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -70,7 +70,7 @@
 	options := httpd.Options{
 		MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes,
 		DetectDisconnect: true, OmitDefaults: true, IdleTimeout: s.idleTimeout, Limits: s.requestLimits,
-		Budget: budget, Refuse: s.refuseUnread,
+		Budget: budget, Refuse: s.refuseUnread, Displaced: s.logDisplaced,
 	}
 	httpServer, err := httpd.Start(address, options, func(h *server.Hertz) { h.Use(s.serve) })
 	if err != nil {
@@ -183,6 +183,12 @@
 	return []byte(head + "\r\n")
 }
 
+// logDisplaced logs that a connection is closed to make room for a new one.
+func (s *Server) logDisplaced() {
+	r := decision.Warning("connection_displaced", decision.String("reason", "a new connection found no room, and this one sent no request for longest"))
+	s.record(&r)
+}
+
 // submitAndWait submits a request to the relay and waits for its answer.
 func (s *Server) submitAndWait(ctx context.Context, request *relay.Request) relay.Answer {
 	submit := func(key uint64) bool {
