The readiness and metrics listeners have budgets of their own

What callers saw: on these listeners nothing bounded connections, heads (1 MB), and on the metrics listener bodies: an announced length is memory at once, and forms were parsed into memory and files.

Cause: Options without a budget meant no bound at all, and the listeners were started with none.

Evidence: TestOperatorListenerBoundsItsConnections: 100 silent connections, of which 64 at most stay open, and a request behind them is answered.

--- a/internal/edge/httpd/crowd_test.go
+++ b/internal/edge/httpd/crowd_test.go
@@ -158,3 +158,27 @@
 		})
 	}
 }
+
+// TestOperatorListenerBoundsItsConnections guards against a crowd on a listener for the balancer or for
+// operators, which had no bound on what its connections hold.
+func TestOperatorListenerBoundsItsConnections(t *testing.T) {
+	const crowd, want = 100, operatorBytes / connectionBytes
+	s, err := Start("127.0.0.1:0", OperatorOptions(), func(h *server.Hertz) {
+		h.Use(func(_ context.Context, c *app.RequestContext) { c.AbortWithStatus(http.StatusOK) })
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for range crowd {
+		dial(t, s)
+	}
+	c := dial(t, s)
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	if status := responseTo(t, c); status != http.StatusOK {
+		t.Errorf("status %d behind the crowd", status)
+	}
+	if n := s.Stats().Connections; n > want {
+		t.Errorf("%d connections are open, want %d at most", n, want)
+	}
+}
--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -45,6 +45,20 @@
 	Refuse func(*intake.Refusal) []byte
 }
 
+const (
+	// operatorBytes bounds what the connections of a listener for operators or a balancer hold, apart
+	// from those of callers. It is enough for 64 connections.
+	operatorBytes = 2 << 20
+	// operatorMessageBytes bounds the head and the body of a request to it.
+	operatorMessageBytes = 16 << 10
+)
+
+// OperatorOptions returns the options of a listener for operators or a balancer, whose requests are small
+// and are answered however busy that for callers is.
+func OperatorOptions() Options {
+	return Options{MaxBodyBytes: operatorMessageBytes, MaxHeaderBytes: operatorMessageBytes, Budget: memory.NewBudget(operatorBytes)}
+}
+
 // RequestLimits bound a request. Zero values mean no limit beside the maximum sizes and
 // defaultHeaderTimeout.
 type RequestLimits struct {
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -224,7 +224,7 @@
 // StartReady listens on address for the balancer's readiness checks; ready reports whether
 // the host accepts new connections.
 func StartReady(address string, codec Codec, ready func() bool) (*httpd.Server, error) {
-	return httpd.Start(address, httpd.Options{MaxBodyBytes: maxHeaderBytes}, func(h *server.Hertz) {
+	return httpd.Start(address, httpd.OperatorOptions(), func(h *server.Hertz) {
 		h.GET(codec.ReadyPath(), func(_ context.Context, c *app.RequestContext) {
 			if ready() {
 				c.SetStatusCode(http.StatusOK)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,7 +148,7 @@
 	if g.ready, err = ingress.StartReady(g.settings.Listen.Ready, o.Codec, g.isReady); err != nil {
 		return err
 	}
-	if g.metrics, err = admin.Start(g.settings.Listen.Metrics, httpd.Options{}, g.status, func() {}); err != nil {
+	if g.metrics, err = admin.Start(g.settings.Listen.Metrics, httpd.OperatorOptions(), g.status, func() {}); err != nil {
 		return err
 	}
 	duties := slices.Concat([]duty.Duty{g.upstream.duty(), g.relay.duty()}, g.discovery.duties(), []duty.Duty{g.roster.duty()}, g.fleet.duties())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -85,6 +85,7 @@
 	Connections    uint64         `json:"connections_made"`
 	Memory         memory.Usage   `json:"memory"`
 	Callers        httpd.Stats    `json:"callers"`
+	Balancer       httpd.Stats    `json:"balancer"`
 	ReplyMemory    ReplyMemory    `json:"reply_memory"`
 	StoreCalls     uint64         `json:"store_calls"`
 	StoreFailures  uint64         `json:"store_failures"`
@@ -102,6 +103,7 @@
 		Connections:    g.client.Dials(),
 		Memory:         g.budget.Usage(),
 		Callers:        g.ingress.Stats(),
+		Balancer:       g.ready.Stats(),
 		ReplyMemory:    ReplyMemory{Limit: g.settings.replyBytes(), Used: g.client.ReplyBytes()},
 		StoreCalls:     g.discovery.store.Calls(), StoreFailures: g.discovery.store.FailedCalls(),
 		Rings: []ring.Stats{g.relay.inbox.Stats(), g.upstream.inbox.Stats(), g.discovery.inbox.Stats()},
