Callers leave descriptors for targets, the store and other hosts

What callers saw: with more callers than limits.max_fds has descriptors, the process had none left to dial a target, and requests that it had accepted failed or waited.

Cause: limits.max_fds was not read; the budget of memory alone allowed 4,544 connections on a host with 3,900 sockets.

The fix: callers have three quarters of the descriptors that are not left to files, by the settings or the system's limit, whichever is less: 2,925 of 4,100. A new connection beyond that takes the place of one that sends no request.

--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -37,6 +37,8 @@
 	// defaultBudgetBytes. A connection that finds no room takes the place of one that sends no request,
 	// or waits.
 	Budget *memory.Budget
+	// MaxConnections bounds the connections, 0 for no bound beside the budget.
+	MaxConnections int
 	// Displaced is called when a connection has to make room for a new one; nil means not. It must not
 	// block.
 	Displaced func()
--- a/internal/edge/httpd/listener.go
+++ b/internal/edge/httpd/listener.go
@@ -98,7 +98,7 @@
 func (l *listener) awaitRoom() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for !l.options.Budget.Reserve(memory.Connections, connectionBytes) {
+	for !l.reserveConnection() {
 		if l.closing {
 			// What has arrived on it is still served.
 			l.options.Budget.Force(memory.Connections, connectionBytes)
@@ -122,6 +122,12 @@
 	}
 }
 
+// reserveConnection reserves what a connection takes and reports whether it was left.
+func (l *listener) reserveConnection() bool {
+	most := l.options.MaxConnections
+	return (most == 0 || l.table.Len() < most) && l.options.Budget.Reserve(memory.Connections, connectionBytes)
+}
+
 func (l *listener) now() time.Duration { return time.Since(l.started) }
 
 // received records that a part of a request has arrived.
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -64,13 +64,13 @@
 // Start listens for callers on address. submit passes a new request to the relay and returns
 // false if the relay has no room; notify passes other events. waiters delivers the relay's
 // answers, and record logs the requests that are refused before they reach the relay.
-func Start(address string, codec Codec, budget *memory.Budget, waiters *await.Waiters[relay.Answer], submit, notify func(relay.Event) bool, record func(*decision.Record), tracer *trace.Tracer, clk sysclock.Clock) (*Server, error) {
+func Start(address string, codec Codec, budget *memory.Budget, maxConnections int, waiters *await.Waiters[relay.Answer], submit, notify func(relay.Event) bool, record func(*decision.Record), tracer *trace.Tracer, clk sysclock.Clock) (*Server, error) {
 	s := &Server{codec: codec, submit: submit, notify: notify, waiters: waiters, record: record, tracer: tracer, clock: clk}
 	s.limits.Store(&catalog.Limits{})
 	options := httpd.Options{
 		MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes,
 		DetectDisconnect: true, OmitDefaults: true, IdleTimeout: s.idleTimeout, Limits: s.requestLimits,
-		Budget: budget, Refuse: s.refuseUnread, Displaced: s.logDisplaced,
+		Budget: budget, MaxConnections: maxConnections, Refuse: s.refuseUnread, Displaced: s.logDisplaced,
 	}
 	httpServer, err := httpd.Start(address, options, func(h *server.Hertz) { h.Use(s.serve) })
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,7 +141,7 @@
 	// If the ring is full, the targets' entries are relied on.
 	g.discovery.onContact = func(lost bool) { g.relay.put(&relay.StoreContact{Lost: lost}) }
 	g.discovery.record = g.logDecision
-	if g.ingress, err = ingress.Start(g.settings.Listen.Front, o.Codec, g.budget, g.waiters, g.relay.submit, g.relay.put, g.logDecision, o.Tracer, g.clock); err != nil {
+	if g.ingress, err = ingress.Start(g.settings.Listen.Front, o.Codec, g.budget, maxCallerConnections(g.settings.descriptors()), g.waiters, g.relay.submit, g.relay.put, g.logDecision, o.Tracer, g.clock); err != nil {
 		return err
 	}
 	g.relay.deliver = g.deliverAnswer
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"pollentack.example/pollentack/internal/core/relay"
 )
 
@@ -41,6 +44,8 @@
 	FirstStart bool
 	// MemoryBytes is the memory limit of the process, 0 for none.
 	MemoryBytes int64
+	// MaxDescriptors is the limit on the descriptors of the process, 0 for that of the system.
+	MaxDescriptors int
 }
 
 // staticSettings are settings that change only with a restart. Reload compares them to log
@@ -53,12 +58,14 @@
 	removalBound       time.Duration
 	reportInterval     time.Duration
 	cold               relay.ColdPolicy
+	maxDescriptors     int
 }
 
 func (s *Settings) static() staticSettings {
 	return staticSettings{
 		host: s.Host, zone: s.Zone, region: s.Region, listen: s.Listen, store: s.Store,
 		applyBound: s.ApplyBound, removalBound: s.RemovalBound, reportInterval: s.ReportInterval, cold: s.Cold,
+		maxDescriptors: s.MaxDescriptors,
 	}
 }
 
@@ -87,6 +94,38 @@
 	defaultRequestBytes = 512 << 20
 )
 
+const (
+	// fileDescriptors of the limit are left to files.
+	fileDescriptors = 200
+	// callerNumerator/callerDenominator of the others are for callers. The rest is for targets, the store,
+	// other hosts and the other listeners.
+	callerNumerator   = 3
+	callerDenominator = 4
+)
+
+// maxCallerConnections returns the number of connections that callers may have together with a limit on
+// descriptors, 0 for no bound.
+func maxCallerConnections(descriptors int) int {
+	if descriptors <= 0 {
+		return 0
+	}
+	sockets := max(descriptors-fileDescriptors, descriptors/2)
+	return max(1, sockets*callerNumerator/callerDenominator)
+}
+
+// descriptors returns the limit on the descriptors of the process: that of the settings or of the system,
+// whichever is less, 0 for none.
+func (s *Settings) descriptors() int {
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil || limit.Cur > math.MaxInt32 {
+		return s.MaxDescriptors
+	}
+	if s.MaxDescriptors <= 0 {
+		return int(limit.Cur)
+	}
+	return min(s.MaxDescriptors, int(limit.Cur))
+}
+
 // requestBytes returns the number of bytes that callers' connections and requests and messages to
 // peers may occupy together.
 func (s *Settings) requestBytes() int64 {
