An answer that its caller does not take gives way

What callers saw: callers that never read their answers held their connection, a thread and the bytes of the answer for ever, beside every budget.

Cause: a write had no deadline, and the reservations of a request were given back before its answer was written.

TestUnreadAnswersGiveWay and TestResponsesThatAreNotTakenGiveWay pass; what they check did not exist before.

The fix: a response has 30 s for each 256 KiB that its caller takes. What is larger than a block is charged to the budget while it is written. It is written also without room, since an answer that is ready is delivered, but then one of which its caller has taken nothing for over a second is cut off; such answers also give way to requests that grow, and to new connections after five seconds.

--- a/internal/core/intake/table.go
+++ b/internal/core/intake/table.go
@@ -12,6 +12,8 @@
 	receiving
 	// answering is one whose request is whole.
 	answering
+	// writing is one to which a large response is written.
+	writing
 	// closing is one that was refused or told to give way.
 	closing
 )
@@ -25,7 +27,7 @@
 	displaced bool
 	// held are the bytes reserved for the request.
 	held int
-	// received is when the last bytes arrived, unanswered since when no request was answered.
+	// received is when the last bytes arrived or were taken, unanswered since when no request was answered.
 	received, unanswered time.Duration
 }
 
@@ -111,12 +113,40 @@
 
 // Answered states that the request was answered.
 func (t *Table) Answered(c *Connection, now time.Duration) {
-	if c.phase == answering {
+	if c.phase == answering || c.phase == writing {
 		c.unanswered = now
 		t.set(c, idle, c.held)
 	}
 }
 
+// Writing states that a response is written for which, with the request, held bytes are reserved.
+func (t *Table) Writing(c *Connection, held int, now time.Duration) {
+	c.received = now
+	if c.phase == closing {
+		t.Hold(c, held)
+		return
+	}
+	t.set(c, writing, held)
+}
+
+// Progress states that the caller has taken a part of the response.
+func (t *Table) Progress(c *Connection, now time.Duration) { c.received = now }
+
+// ResponseToGiveWay returns the connection whose caller has taken nothing of its response for longest, nil
+// if none has for stalledAfter.
+func (t *Table) ResponseToGiveWay(now time.Duration) *Connection {
+	var victim *Connection
+	for c := range t.connections {
+		if c.phase == writing && c.stalled(now) && (victim == nil || c.received < victim.received) {
+			victim = c
+		}
+	}
+	if victim != nil {
+		t.GiveWay(victim)
+	}
+	return victim
+}
+
 // GiveWay states that a connection was refused or told to give way.
 func (t *Table) GiveWay(c *Connection) { t.set(c, closing, c.held) }
 
@@ -165,13 +195,13 @@
 	return Awaited, victim
 }
 
-// requestToGiveWay returns the request that gives way to the growth of another: the one that has been
-// silent for longest, if that is longer than stalledAfter, or else the largest. It returns nil if that is
+// requestToGiveWay returns the request, or the response that its caller does not take, that gives way to the
+// growth of another request: the one that has been silent for longest, if that is longer than stalledAfter, or else the largest. It returns nil if that is
 // the one that grows.
 func (t *Table) requestToGiveWay(grows *Connection, n int, now time.Duration) *Connection {
 	var victim *Connection
 	for c := range t.connections {
-		if c != grows && c.phase == receiving && c.held > 0 && (victim == nil || c.before(victim, now)) {
+		if c != grows && (c.phase == receiving && c.held > 0 || c.phase == writing && c.stalled(now)) && (victim == nil || c.before(victim, now)) {
 			victim = c
 		}
 	}
@@ -221,6 +251,8 @@
 	switch {
 	case c.phase == answering || c.phase == closing:
 		return false
+	case c.phase == writing:
+		return now-c.received > keptIdle
 	case c.phase == idle && c.served:
 		return waited > keptIdle
 	}
--- a/internal/core/intake/table_test.go
+++ b/internal/core/intake/table_test.go
@@ -81,3 +81,31 @@
 		x.Close(victim)
 	}
 }
+
+// TestResponsesThatAreNotTakenGiveWay guards against callers that never read their answers.
+func TestResponsesThatAreNotTakenGiveWay(t *testing.T) {
+	x := NewTable()
+	taken, stuck := x.Open(0), x.Open(0)
+	for _, c := range []*Connection{taken, stuck} {
+		x.Whole(c)
+		x.Answered(c, 0)
+		x.Writing(c, 400, 0)
+	}
+	if victim := x.ResponseToGiveWay(stalledAfter); victim != nil {
+		t.Errorf("victim %p while both are taken", victim)
+	}
+	const later = 2 * stalledAfter
+	x.Progress(taken, later)
+	if room, victim := x.Grow(open(t, x, 0, later), 10, limit, false, later); room != Awaited || victim != stuck {
+		t.Errorf("room %v, victim %p, want the response that is not taken", room, victim)
+	}
+	x.Close(stuck)
+	if victim := x.ResponseToGiveWay(later); victim != nil {
+		t.Errorf("victim %p, want none for one that is taken", victim)
+	}
+	x.Hold(taken, 0)
+	x.Answered(taken, later)
+	if victim, _ := x.Displace(later); victim != nil {
+		t.Errorf("victim %p, want none that has just served", victim)
+	}
+}
--- a/internal/edge/httpd/buffered.go
+++ b/internal/edge/httpd/buffered.go
@@ -204,15 +204,52 @@
 	if err := c.Flush(); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	if err := c.writeInTime(p); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+const (
+	// writeTimeout bounds the time in which a caller takes writeStep bytes of a response.
+	writeTimeout = 30 * time.Second
+	writeStep    = 256 << 10
+)
+
+// writeInTime writes p to a caller that takes some of it every now and then.
+func (c *bufferedConn) writeInTime(p []byte) error {
+	for len(p) > 0 {
+		if c.writing > 0 {
+			c.listener.wroteSome(c.conn)
+		}
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return fmt.Errorf("write to caller: %w", err)
+		}
+		n, err := c.conn.Write(p[:min(len(p), writeStep)])
+		if err != nil {
+			return err //nolint:wrapcheck // hertz compares it
+		}
+		p = p[n:]
+	}
+	return nil
 }
 
 // Flush writes what waits for it.
 func (c *bufferedConn) Flush() error {
 	var err error
+	large := 0
+	for i, p := range c.out {
+		if c.outBlock[i] == nil {
+			large += len(p)
+		}
+	}
+	if large > 0 {
+		c.listener.beginWrite(c.conn, large)
+		defer c.listener.endWrite(c.conn)
+	}
 	for i, p := range c.out {
-		if err == nil && len(p) > 0 {
-			_, err = c.Conn.Write(p)
+		if err == nil {
+			err = c.writeInTime(p)
 		}
 		if b := c.outBlock[i]; b != nil {
 			blocks.Put(b)
--- a/internal/edge/httpd/crowd_test.go
+++ b/internal/edge/httpd/crowd_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"pollentack.example/pollentack/internal/edge/memory"
 )
 
 // responseTo returns the status of the response on a connection, 0 if it ends without one.
@@ -182,3 +184,39 @@
 		t.Errorf("%d connections are open, want %d at most", n, want)
 	}
 }
+
+// TestUnreadAnswersGiveWay guards against callers that do not read their answers, which were held beside
+// the budget and for ever.
+func TestUnreadAnswersGiveWay(t *testing.T) {
+	const crowd, answer, limit = 6, 16 << 20, 64 << 20
+	budget := memory.NewBudget(limit)
+	s, err := Start("127.0.0.1:0", Options{Budget: budget}, func(h *server.Hertz) {
+		h.Use(func(_ context.Context, c *app.RequestContext) {
+			c.AbortWithStatus(http.StatusOK)
+			c.Response.SetBodyRaw(make([]byte, answer))
+		})
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for range crowd {
+		_, _ = io.WriteString(dial(t, s), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	for begin := time.Now(); budget.Usage().Used < 3*answer; time.Sleep(time.Millisecond) {
+		if time.Since(begin) > 10*time.Second {
+			t.Fatalf("budget %+v while %d answers are written", budget.Usage(), crowd)
+		}
+	}
+	for begin := time.Now(); budget.Usage().Used > limit; time.Sleep(10 * time.Millisecond) {
+		if time.Since(begin) > 10*time.Second {
+			t.Fatalf("budget %+v behind callers that do not read", budget.Usage())
+		}
+		c := dial(t, s)
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		if status := responseTo(t, c); status != http.StatusOK {
+			t.Errorf("status %d of a caller that reads", status)
+		}
+		_ = c.Close()
+	}
+}
--- a/internal/edge/httpd/listener.go
+++ b/internal/edge/httpd/listener.go
@@ -148,7 +148,7 @@
 		room, victim := l.table.Grow(c.entry, n, budget.Limit(), free, l.now())
 		if room == intake.Granted {
 			c.held += n
-			l.table.Hold(c.entry, c.held)
+			l.table.Hold(c.entry, c.held+c.writing)
 			return true
 		}
 		if free {
@@ -170,7 +170,39 @@
 	defer l.mu.Unlock()
 	l.options.Budget.Release(memory.Requests, n)
 	c.held -= n
+	l.table.Hold(c.entry, c.held+c.writing)
+	l.released.Broadcast()
+}
+
+// beginWrite reserves the n bytes of a response that is written. It is written also without room for it,
+// but a response that its caller does not take gives way.
+func (l *listener) beginWrite(c *conn, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.options.Budget.Reserve(memory.Requests, n) {
+		l.options.Budget.Force(memory.Requests, n)
+		if victim := l.table.ResponseToGiveWay(l.now()); victim != nil {
+			l.interrupt(victim)
+		}
+	}
+	c.writing = n
+	l.table.Writing(c.entry, c.held+c.writing, l.now())
+}
+
+func (l *listener) wroteSome(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Progress(c.entry, l.now())
+}
+
+// endWrite gives up what beginWrite has reserved.
+func (l *listener) endWrite(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.options.Budget.Release(memory.Requests, c.writing)
+	c.writing = 0
 	l.table.Hold(c.entry, c.held)
+	l.table.Answered(c.entry, l.now())
 	l.released.Broadcast()
 }
 
@@ -269,6 +301,8 @@
 	entry    *intake.Connection
 	// held are the bytes reserved for the request, headKept those for what hertz keeps of heads.
 	held, headKept int
+	// writing are the bytes reserved for the response while it is written.
+	writing int
 	// receiving states that the read deadline is that of a request of which a part has arrived,
 	// extended that it was extended because more had arrived unread.
 	receiving, extended bool
