--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -172,7 +172,7 @@
 	if g.front, err = listen.TCP(g.settings.Listen.Front, g.log); err != nil {
 		return err
 	}
-	if g.ingress, err = ingress.Start(g.front, o.Codec, g.budget, g.waiters, g.relay.submit, g.relay.put, g.logDecision, g.panics.Report, o.Tracer, g.clock); err != nil {
+	if g.ingress, err = ingress.Start(g.front, o.Codec, g.budget, maxCallerConnections(g.settings.descriptors()), g.waiters, g.relay.submit, g.relay.put, g.logDecision, g.panics.Report, o.Tracer, g.clock); err != nil {
 		return err
 	}
 	g.relay.deliver = g.deliverAnswer
@@ -186,7 +186,9 @@
 	if socket, err = listen.TCP(g.settings.Listen.Metrics, g.log); err != nil {
 		return err
 	}
-	if g.metrics, err = admin.Start(socket, httpd.Options{OnPanic: g.panics.Report}, g.status, func() {}); err != nil {
+	options := httpd.OperatorOptions()
+	options.OnPanic = g.panics.Report
+	if g.metrics, err = admin.Start(socket, options, g.status, func() {}); err != nil {
 		return err
 	}
 	return nil
