A message between hosts takes memory as its bytes arrive

What peers could do: four bytes that announce a message made a host hold up to 1.06 MB for it, on each of 2,048 streams.

Cause: ReadFrame made a buffer of the announced size before it read any of it.

The fix: the buffer begins with 16 KiB and doubles while the message arrives. What has arrived of messages is still outside the budget.

--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -63,8 +63,8 @@
 	if uint64(size) > uint64(limit) {
 		return lengthPrefixBytes, fmt.Errorf("%w: %d bytes, limit is %d", ErrOversized, size, limit)
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
+	body, err := readMessage(r, int(size))
+	if err != nil {
 		return lengthPrefixBytes, fmt.Errorf("read frame: %w", err)
 	}
 	if err := proto.Unmarshal(body, m); err != nil {
@@ -72,3 +72,24 @@
 	}
 	return lengthPrefixBytes + len(body), nil
 }
+
+// firstMessageBytes is the size of the buffer for a message of which nothing has arrived.
+const firstMessageBytes = 16 << 10
+
+// readMessage reads size bytes into a buffer that grows as they arrive.
+func readMessage(r io.Reader, size int) ([]byte, error) {
+	body := make([]byte, 0, min(size, firstMessageBytes))
+	for len(body) < size {
+		if len(body) == cap(body) {
+			body = append(make([]byte, 0, min(size, 2*len(body))), body...)
+		}
+		n, err := io.ReadFull(r, body[len(body):cap(body)])
+		if body = body[:len(body)+n]; err != nil {
+			if errors.Is(err, io.EOF) && len(body) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err //nolint:wrapcheck // the caller does
+		}
+	}
+	return body, nil
+}
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"errors"
+	"io"
+	"runtime"
 	"testing"
+	"testing/iotest"
 
 	"google.golang.org/protobuf/proto"
 )
@@ -57,3 +60,29 @@
 		t.Fatalf("error %v after %d bytes, want %v and no bytes", err, b.Len(), ErrOversized)
 	}
 }
+
+// TestAnnouncedMessageTakesNoMemory guards against peers that announce large messages and send nothing of
+// them: each took the announced size.
+func TestAnnouncedMessageTakesNoMemory(t *testing.T) {
+	const messages, most = 100, 4 << 20
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range messages {
+		if _, err := ReadFrame(bytes.NewReader([]byte{0, 0x10, 0, 0, 'x'}), &Request{}, MaxCallBytes); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Fatalf("error %v, want %v", err, io.ErrUnexpectedEOF)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if n := after.TotalAlloc - before.TotalAlloc; n > most {
+		t.Errorf("%d messages of 1 MiB, announced only, took %d bytes, want %d at most", messages, n, most)
+	}
+	var frame bytes.Buffer
+	sent := &Request{Payload: bytes.Repeat([]byte("payload"), 100<<10)}
+	if _, err := WriteFrame(&frame, sent, MaxCallBytes); err != nil {
+		t.Fatal(err)
+	}
+	got := &Request{}
+	if _, err := ReadFrame(iotest.HalfReader(&frame), got, MaxCallBytes); err != nil || !proto.Equal(got, sent) {
+		t.Errorf("read %d bytes of payload, %v, want %d", len(got.GetPayload()), err, len(sent.GetPayload()))
+	}
+}
