A mesh connection is read only up to its hello until that is accepted

What strangers could do: on the control listener a connection that never says hello made a host hold 256 KiB on each of 256 streams, for up to 1,024 connections.

Cause: the session receives the window of every stream that a peer opens, whether or not anything reads it, and the handshake bounded only its time.

Evidence: TestStrangerIsReadUpToItsHello before: "524336 bytes were read before a hello, want 65536 at most" with eight streams; now the connection ends.

The fix: below the session, an accepted connection yields 64 KiB until the hello is accepted, 16 times the longest hello. A dialer sends nothing else before it has the answer.

--- a/internal/edge/mesh/hello.go
+++ b/internal/edge/mesh/hello.go
@@ -163,12 +163,13 @@
 			return nil, err
 		}
 	}
-	framed := newFrameConn(conn)
+	stranger := &strangerConn{Conn: conn}
+	framed := newFrameConn(stranger)
 	session, err := yamux.Server(framed, m.sessionConfig(false))
 	if err != nil {
 		return nil, fmt.Errorf("open session: %w", err)
 	}
-	l, err := m.answerHello(conn, session, framed.waits)
+	l, err := m.answerHello(conn, session, framed.waits, func() { stranger.known.Store(true) })
 	if err != nil {
 		return nil, errors.Join(err, session.Close())
 	}
@@ -176,8 +177,9 @@
 }
 
 // answerHello accepts the heartbeat stream, checks the dialer's hello, registers the link
-// and writes the local hello, with the reason if the link is refused.
-func (m *Mesh) answerHello(conn net.Conn, session *yamux.Session, waits *streamWaits) (*link, error) {
+// and writes the local hello, with the reason if the link is refused. It calls accepted before it tells
+// the peer that the link is accepted.
+func (m *Mesh) answerHello(conn net.Conn, session *yamux.Session, waits *streamWaits, accepted func()) (*link, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
 	stream, err := session.AcceptStreamWithContext(ctx)
@@ -206,6 +208,7 @@
 		_, _ = io.ReadFull(stream, make([]byte, 1))
 		return nil, err
 	}
+	accepted()
 	if err := writeFrame(stream, local, wire.MaxHelloBytes); err != nil {
 		m.unregister(l)
 		return nil, err
