A body that goes on after a pause of the process has its whole time

A process that stood still while a request arrived reads what has arrived behind the deadline, with a second more. That second was then all the rest of a body had, since no later deadline was set; a caller that was still sending got 408. Only a head keeps it now.

--- a/internal/edge/httpd/listener.go
+++ b/internal/edge/httpd/listener.go
@@ -336,7 +336,9 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.waitingSince, c.receiving = time.Time{}, true
-	if !c.listener.closing && !c.entry.Closing() && !c.extended {
+	// A head that is read after its time keeps the deadline that was extended.
+	late := c.extended && !t.After(time.Now())
+	if !c.listener.closing && !c.entry.Closing() && !late {
 		// Read fails too if it cannot be set.
 		_ = c.Conn.SetReadDeadline(t)
 	}
