A gateway whose clock was set back between two starts finds its peers

Operators saw nothing but mesh_peer_refused with the reason old_incarnation: for half a minute, and for as long as a silent link to the earlier process stands before that, a host that has started again reaches no peer and none reaches it. It counts itself as the only host meanwhile.

Cause: the mesh orders the processes of a host by the time of their start on its own clock, and refuses an earlier one for 30 s after the last link to the later one. Peers that set heartbeats need that; the links between gateways are made on demand, and nothing is decided by their end.

Evidence: TestRestartWithClockSetBackIsAccepted before this commit: "timed out waiting for a call of the process after", for a link that has ended and for one that is silent.

Between gateways only a link counts, and one that is in the way is probed and closed unless it answers within 1.5 s. The test passes, 0 s after the end of a link and 1.5 to 2 s beside a silent one. A process that still answers, as one that drains beside its successor, keeps its link as before. In the fleet core a host that hears of a later start of its own already takes a later one (host_denies). The JSON front end, whose peers rely on the order, keeps the 30 s.

--- a/internal/edge/mesh/hello.go
+++ b/internal/edge/mesh/hello.go
@@ -237,6 +237,12 @@
 	if reason == wire.Refusal_REFUSAL_NONE {
 		return nil
 	}
+	if reason == wire.Refusal_REFUSAL_OLD_INCARNATION {
+		// If the link to the newer one is silent, the peer may have started again with its clock set back.
+		if l := m.linkTo(h.GetHost()); l != nil {
+			l.probe()
+		}
+	}
 	m.counters.countRefusal(reason)
 	m.options.Log.Warn().Str("event", "mesh_peer_refused").Str("peer", h.GetHost()).Str("reason", reason.String()).Send()
 	return &refusedError{reason: reason, peer: h.GetHost()}
@@ -271,7 +277,8 @@
 }
 
 // recentlySeen reports whether there is a link to the peer, or last was seen within
-// incarnationRetention.
+// incarnationRetention. In an insecure mesh, links are made on demand and only the link counts: a
+// host that starts again with its clock set back needs its peers at once.
 func (m *Mesh) recentlySeen(peer string, last seenIncarnation) bool {
-	return m.links[peer] != nil || time.Since(last.at) < incarnationRetention
+	return m.links[peer] != nil || !m.options.Insecure && time.Since(last.at) < incarnationRetention
 }
