A gateway waits for settings that are not whole yet

Operators saw: a host is gone whose settings file is missing, empty or being written at the moment of its start; "exit code 2".

Cause: the file was read once at the start, and any failure ended the process, although a running gateway takes up each change of the same file by itself.

Evidence: TestSettingsThatAreNotThereYet on: "timed out after 10s waiting for the reason to wait to be logged"; the process had ended. Trials with the binary of the deploy file: a missing, empty or half-written file, and one without its last byte, ended the process.

A gateway reads the file again every 200 ms until it can be used or the process is told to stop, and logs each reason once as settings_unusable. The JSON front end, whose file nobody writes while it starts, and whose pages say that it does not start on a faulty one, stays as it is.

--- a/cmd/pollentack/gateway.go
+++ b/cmd/pollentack/gateway.go
@@ -18,7 +18,7 @@
 )
 
 type gatewayCmd struct {
-	Settings  string `help:"Settings file (YAML) of the platform; by default the one that the platform names in the environment." type:"existingfile"`
+	Settings  string `help:"Settings file (YAML) of the platform; by default the one that the platform names in the environment." type:"path"`
 	Check     bool   `help:"Check the settings file and exit."`
 	LogLevel  string `help:"Least level of log lines." enum:"debug,info,warn,error" default:"info"`
 	TraceFile string `help:"File for spans, one for each hop of a request; none by default." type:"path"`
@@ -59,10 +59,9 @@
 	defer logWriter.close()
 	log := logs.NewLimited(logWriter, cmd.LogLevel, cmd.LogLines)
 	log.Info().Str("event", "process_started").Int("pid", os.Getpid()).Str("settings", file.path).Send()
-	s, err := file.load()
-	if err != nil {
-		log.Error().Str("event", "settings_unusable").Err(err).Send()
-		return asUsageError(err)
+	s := file.await(stopSignalsOfHost, &log)
+	if s == nil {
+		return nil
 	}
 	setSoftMemoryLimit(s)
 	log = log.With().Str("host", s.Host).Str("availability_zone", s.Zone).Logger()
--- a/cmd/pollentack/settingsfile.go
+++ b/cmd/pollentack/settingsfile.go
@@ -17,6 +17,8 @@
 	// settingsPollInterval is the time between two reads of the settings file, which may
 	// change without a signal. No setting is urgent, and a read is only some kilobytes.
 	settingsPollInterval = 5 * time.Second
+	// settingsRetryInterval is the time between two reads at the start, while the file is not valid.
+	settingsRetryInterval = 200 * time.Millisecond
 	// softMemoryLimitRatio is the fraction of the process's memory limit that becomes the
 	// soft memory limit of the Go runtime, near which garbage is collected more often.
 	softMemoryLimitRatio = 0.7
@@ -40,6 +42,30 @@
 	return f.parse()
 }
 
+// await returns the settings as soon as the file is there and valid, or nil if the process is told
+// to stop first: the file may be written while the process starts. Each new reason to wait is logged.
+func (f *settingsFile) await(stop <-chan os.Signal, log *zerolog.Logger) *gateway.Settings {
+	retry := time.NewTicker(settingsRetryInterval)
+	defer retry.Stop()
+	lastReason := ""
+	for {
+		s, err := f.load()
+		if err == nil {
+			return s
+		}
+		if reason := err.Error(); reason != lastReason {
+			lastReason = reason
+			log.Error().Str("event", "settings_unusable").Err(err).Dur("retry_interval", settingsRetryInterval).Send()
+		}
+		select {
+		case <-retry.C:
+		case sig := <-stop:
+			log.Info().Str("event", "stop_requested").Str("signal", sig.String()).Str("reason", "before the start").Send()
+			return nil
+		}
+	}
+}
+
 func (f *settingsFile) parse() (*gateway.Settings, error) {
 	s, err := platform.ParseSettings(f.lastContent)
 	if err != nil {
--- a/cmd/pollentack/start_test.go
+++ b/cmd/pollentack/start_test.go
@@ -197,6 +197,48 @@
 // metricsPort is the position of a gateway's port for operators among its ports.
 const metricsPort = 3
 
+// TestSettingsThatAreNotThereYet guards against a host that ends because its settings file is
+// missing, empty or half-written as it starts. It must serve once the file is whole, and end if it
+// is told to before.
+func TestSettingsThatAreNotThereYet(t *testing.T) {
+	h := newGateway(t)
+	path := h.site.SettingsFiles[0]
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	logged := func(words ...string) {
+		t.Helper()
+		awaitCondition(t, "the reason to wait to be logged", func() bool { return logContains(t, log.Name(), words...) })
+	}
+	for _, stopped := range []bool{true, false} {
+		h.start(log)
+		logged("settings_unusable", "no such file")
+		if stopped {
+			h.stop()
+		}
+	}
+	for size, reason := range map[int]string{0: "node_name is missing", len(text) - len("\"}\n"): "decode: yaml"} {
+		if err := os.WriteFile(path, text[:size], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		logged("settings_unusable", reason)
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	h.awaitServing()
+	h.stop()
+}
+
 // initPipeEnv is an environment variable with a pipe that a process opens and reads to its end
 // while its packages are initialized.
 const initPipeEnv = "POLLENTACK_TEST_INIT_PIPE"
