The mesh remembers a bounded number of names

What strangers could do: each hello with a new name, of up to 4 KB, was remembered for as long as the process ran.

Cause: the incarnation last seen of a peer was never forgotten.

Evidence: by reading (no code deleted from the map); TestNamesOfStrangersGiveWay checks the bound and that known hosts keep their place.

The fix: 4,096 names are remembered. The one that was seen longest ago gives way, unless it is a known host or has a link.

--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -321,7 +321,7 @@
 		m.draining = append(m.draining, drainingLink{link: previous, since: time.Now()})
 		previous = nil
 	}
-	m.lastSeen[l.peer] = seenIncarnation{incarnation: l.incarnation, at: time.Now()}
+	m.remember(l.peer, l.incarnation)
 	m.mu.Unlock()
 	if previous != nil {
 		previous.close()
@@ -346,13 +346,31 @@
 	return idlest
 }
 
+// maxSeenNames bounds the names whose incarnation is remembered. Known hosts and those with a link do not
+// give way.
+const maxSeenNames = 4096
+
+// remember records the incarnation of a peer. The name that was seen longest ago gives way to a new one.
+func (m *Mesh) remember(peer string, incarnation membership.Incarnation) {
+	if _, ok := m.lastSeen[peer]; !ok && len(m.lastSeen) >= maxSeenNames {
+		oldest, at := "", time.Now()
+		for name, seen := range m.lastSeen {
+			if _, known := m.hosts[name]; !known && m.links[name] == nil && seen.at.Before(at) {
+				oldest, at = name, seen.at
+			}
+		}
+		delete(m.lastSeen, oldest)
+	}
+	m.lastSeen[peer] = seenIncarnation{incarnation: incarnation, at: time.Now()}
+}
+
 // unregister removes l unless another link has replaced it.
 func (m *Mesh) unregister(l *link) {
 	m.mu.Lock()
 	current := m.links[l.peer] == l
 	if current {
 		delete(m.links, l.peer)
-		m.lastSeen[l.peer] = seenIncarnation{incarnation: l.incarnation, at: time.Now()}
+		m.remember(l.peer, l.incarnation)
 	}
 	m.mu.Unlock()
 	if current {
--- a/internal/edge/mesh/stranger_test.go
+++ b/internal/edge/mesh/stranger_test.go
@@ -1,12 +1,16 @@
 package mesh
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/yamux"
+
+	"pollentack.example/pollentack/internal/core/membership"
+	"pollentack.example/pollentack/internal/core/release"
 )
 
 // TestStrangerIsReadUpToItsHello guards against connections that never say hello and fill the windows of
@@ -42,3 +46,23 @@
 		t.Errorf("%d bytes were read before a hello, want %d at most", n, maxStrangerBytes)
 	}
 }
+
+// TestNamesOfStrangersGiveWay guards against a host that remembers every name that a stranger says hello
+// with.
+func TestNamesOfStrangersGiveWay(t *testing.T) {
+	p := startPeer(t, "p", 1, nil)
+	p.SetHosts([]release.Host{p.host(), {Name: "known", Zone: "zone", MeshAddress: "127.0.0.1:1"}}, nil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, name := range []string{"known", "first"} {
+		p.remember(name, membership.Incarnation{Started: 1})
+	}
+	for i := range maxSeenNames {
+		p.remember(fmt.Sprint(i), membership.Incarnation{Started: 1})
+	}
+	_, known := p.lastSeen["known"]
+	_, first := p.lastSeen["first"]
+	if n := len(p.lastSeen); n != maxSeenNames || !known || first {
+		t.Errorf("%d names, known host %v, first stranger %v, want %d, true, false", n, known, first, maxSeenNames)
+	}
+}
