Parts of the memory limit leave out what the process needs itself

What was seen: TestFrontBearsUnfinishedBodies took 84 to 87 MB of 96 allowed (12 cases, 4 runs), although the budget of callers held: any more and the process is ended. Cause: the soft limit of the Go runtime and the budget of callers were fractions of the whole limit, while the program and its libraries, which the runtime does not count, and the catalog and links take a fixed amount of it. On a small machine the parts exceed the whole. Change: the soft limit is a fraction of what the program leaves, the budget half of what is left beside 40 MiB, at least an eighth of the whole.

--- a/cmd/pollentack/settingsfile.go
+++ b/cmd/pollentack/settingsfile.go
@@ -19,7 +19,10 @@
 	settingsPollInterval = 5 * time.Second
 	// settingsRetryInterval is the time between two reads at the start, while the file is not valid.
 	settingsRetryInterval = 200 * time.Millisecond
-	// softMemoryLimitRatio is the fraction of the process's memory limit that becomes the
+	// outsideRuntimeBytes is the memory of the process that the Go runtime does not count: its program
+	// and the libraries.
+	outsideRuntimeBytes = 24 << 20
+	// softMemoryLimitRatio is the fraction of the rest of the process's memory limit that becomes the
 	// soft memory limit of the Go runtime, near which garbage is collected more often.
 	softMemoryLimitRatio = 0.7
 )
@@ -103,6 +106,6 @@
 // they have a limit.
 func setSoftMemoryLimit(s *gateway.Settings) {
 	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(softMemoryLimitRatio * float64(s.MemoryBytes)))
+		debug.SetMemoryLimit(int64(softMemoryLimitRatio * float64(max(s.MemoryBytes/2, s.MemoryBytes-outsideRuntimeBytes))))
 	}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -87,9 +87,15 @@
 	replyMemoryDivisor = 8
 	// defaultReplyBytes is that part if there is no memory limit.
 	defaultReplyBytes = 32 << 20
-	// requestMemoryDivisor gives the part for callers' connections and requests and for messages to
-	// peers. The rest is what the process needs without any, and garbage.
+	// minReplyDivisor gives the least part of that.
+	minReplyDivisor = 4
+	// ownBytes is what the process needs without callers and messages. Of what is left,
+	// requestMemoryDivisor gives the part for callers' connections, requests and answers and for messages
+	// to peers; the rest is for replies and garbage.
+	ownBytes             = 40 << 20
 	requestMemoryDivisor = 2
+	// minRequestDivisor gives the least such part of the whole limit.
+	minRequestDivisor = 8
 	// defaultRequestBytes is that part if there is no memory limit.
 	defaultRequestBytes = 512 << 20
 )
@@ -132,7 +138,7 @@
 	if s.MemoryBytes <= 0 {
 		return defaultRequestBytes
 	}
-	return s.MemoryBytes / requestMemoryDivisor
+	return max(s.MemoryBytes/minRequestDivisor, (s.MemoryBytes-ownBytes)/requestMemoryDivisor)
 }
 
 // replyBytes returns the number of bytes that the bodies of all replies in progress may occupy
