Answers count from the reply until they are written

Cause: a body was counted while it was read from a target, and again once it was written to its caller. Between the two, in the ring of the relay and until the caller's thread runs, it was in no budget; beyond the budget answers were written without a bound unless a caller had taken nothing for a second. Change: a body counts among the replies until the relay has handled it, and in the budget from its delivery until it is written. Replies have less room by what answers exceed the budget, and a response beyond it has the one of which its caller has taken nothing for longest cut off. TestOldestResponseGivesWay is new; TestLargeBodyIsWhole now says when the body has been handled, and then requires the same zero.

--- a/internal/core/intake/table.go
+++ b/internal/core/intake/table.go
@@ -147,6 +147,21 @@
 	return victim
 }
 
+// OldestResponse is ResponseToGiveWay for answers that have outgrown the memory, which gives way however
+// short its caller has taken nothing of it.
+func (t *Table) OldestResponse() *Connection {
+	var victim *Connection
+	for c := range t.connections {
+		if c.phase == writing && (victim == nil || c.received < victim.received) {
+			victim = c
+		}
+	}
+	if victim != nil {
+		t.GiveWay(victim)
+	}
+	return victim
+}
+
 // GiveWay states that a connection was refused or told to give way.
 func (t *Table) GiveWay(c *Connection) { t.set(c, closing, c.held) }
 
@@ -196,8 +211,8 @@
 }
 
 // requestToGiveWay returns the request, or the response that its caller does not take, that gives way to the
-// growth of another request: the one that has been silent for longest, if that is longer than stalledAfter, or else the largest. It returns nil if that is
-// the one that grows.
+// growth of another request: the one that has been silent for longest, if that is longer than stalledAfter,
+// or else the largest. It returns nil if that is the one that grows.
 func (t *Table) requestToGiveWay(grows *Connection, n int, now time.Duration) *Connection {
 	var victim *Connection
 	for c := range t.connections {
--- a/internal/core/intake/table_test.go
+++ b/internal/core/intake/table_test.go
@@ -109,3 +109,19 @@
 		t.Errorf("victim %p, want none that has just served", victim)
 	}
 }
+
+// TestOldestResponseGivesWay guards against answers that outgrow the memory before one of them has waited
+// for long.
+func TestOldestResponseGivesWay(t *testing.T) {
+	x := NewTable()
+	older, newer := x.Open(0), x.Open(0)
+	for i, c := range []*Connection{older, newer} {
+		x.Whole(c)
+		x.Writing(c, 400, time.Duration(i))
+	}
+	for _, want := range []*Connection{older, newer, nil} {
+		if victim := x.OldestResponse(); victim != want {
+			t.Errorf("victim %p, want %p", victim, want)
+		}
+	}
+}
--- a/internal/core/relay/event.go
+++ b/internal/core/relay/event.go
@@ -150,6 +150,8 @@
 	PeerFailed bool
 	// PeerCutOff states that it failed because it is cut off from all targets.
 	PeerCutOff bool
+	// Handled, if set, is to be called once the effects of the event have been carried out.
+	Handled func()
 }
 
 // AnswerWritten reports how long after the decision an answer was ready to be sent to its
@@ -217,6 +219,14 @@
 	DecidedAt time.Duration
 }
 
+// BodyBytes returns the size of the body.
+func (a *Answer) BodyBytes() int {
+	if a.Response != nil {
+		return len(a.Response.Body)
+	}
+	return len(a.Body)
+}
+
 // Effects are the actions that the caller of a step must carry out.
 type Effects struct {
 	Sends   []Send
--- a/internal/edge/await/await.go
+++ b/internal/edge/await/await.go
@@ -28,7 +28,7 @@
 }
 
 // AwaitUntil is like Await, but calls onDone with the key and returns false once done is
-// closed.
+// closed, unless the answer has been delivered by then.
 func (w *Waiters[T]) AwaitUntil(done <-chan struct{}, submit func(key uint64) bool, onDone func(key uint64)) (T, bool) {
 	var zero T
 	key := w.lastKey.Add(1)
@@ -50,21 +50,30 @@
 	case answer, ok := <-ch:
 		return answer, ok
 	case <-done:
-		w.remove(key)
+		if !w.remove(key) {
+			answer, ok := <-ch
+			return answer, ok
+		}
 		onDone(key)
 		return zero, false
 	}
 }
 
-func (w *Waiters[T]) remove(key uint64) {
+// remove removes a key and reports whether it waited for its answer.
+func (w *Waiters[T]) remove(key uint64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	_, pending := w.pending[key]
 	delete(w.pending, key)
+	return pending
 }
 
 // Deliver passes an answer to the handler that waits for it. If none waits, as after a first
 // answer, the answer is dropped.
-func (w *Waiters[T]) Deliver(key uint64, answer T) {
+func (w *Waiters[T]) Deliver(key uint64, answer T) { w.Offer(key, answer) }
+
+// Offer is Deliver, and reports whether a handler waits for the answer.
+func (w *Waiters[T]) Offer(key uint64, answer T) bool {
 	w.mu.Lock()
 	ch, ok := w.pending[key]
 	delete(w.pending, key)
@@ -72,6 +81,7 @@
 	if ok {
 		ch <- answer
 	}
+	return ok
 }
 
 // Abandon ends all present and future waits without an answer.
--- a/internal/edge/httpd/listener.go
+++ b/internal/edge/httpd/listener.go
@@ -181,7 +181,11 @@
 	defer l.mu.Unlock()
 	if !l.options.Budget.Reserve(memory.Requests, n) {
 		l.options.Budget.Force(memory.Requests, n)
-		if victim := l.table.ResponseToGiveWay(l.now()); victim != nil {
+		victim := l.table.ResponseToGiveWay(l.now())
+		if victim == nil {
+			victim = l.table.OldestResponse()
+		}
+		if victim != nil {
 			l.interrupt(victim)
 		}
 	}
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -50,6 +50,7 @@
 // Server is the HTTP server for callers of routed requests.
 type Server struct {
 	codec      Codec
+	budget     *memory.Budget
 	submit     func(relay.Event) bool
 	notify     func(relay.Event) bool
 	waiters    *await.Waiters[relay.Answer]
@@ -68,7 +69,7 @@
 // answers, record logs the requests that are refused before they reach the relay, and onPanic
 // receives the panics that ended a request.
 func Start(socket net.Listener, codec Codec, budget *memory.Budget, maxConnections int, waiters *await.Waiters[relay.Answer], submit, notify func(relay.Event) bool, record func(*decision.Record), onPanic func(error), tracer *trace.Tracer, clk sysclock.Clock) (*Server, error) {
-	s := &Server{codec: codec, submit: submit, notify: notify, waiters: waiters, record: record, onPanic: onPanic, tracer: tracer, clock: clk}
+	s := &Server{codec: codec, budget: budget, submit: submit, notify: notify, waiters: waiters, record: record, onPanic: onPanic, tracer: tracer, clock: clk}
 	s.limits.Store(&catalog.Limits{})
 	options := httpd.Options{
 		MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes,
@@ -117,6 +118,7 @@
 	defer s.inProgress.Add(-1)
 	c.Abort()
 	answer := s.handle(ctx, c, arrivedAt)
+	defer s.budget.Release(memory.Answers, answer.BodyBytes())
 	s.codec.EncodeAnswer(&answer, &c.Response)
 	if answer.DecidedAt > 0 {
 		// If the ring is full, the measurement is dropped.
--- a/internal/edge/memory/budget.go
+++ b/internal/edge/memory/budget.go
@@ -14,10 +14,12 @@
 	Requests
 	// Messages are those on their way to other hosts.
 	Messages
+	// Answers are those on their way from the relay to the thread that writes them.
+	Answers
 	partCount
 )
 
-var partNames = [partCount]string{"connections", "requests", "messages"}
+var partNames = [partCount]string{"connections", "requests", "messages", "answers"}
 
 // Budget is a number of bytes that several parts share. It may be used by several threads.
 type Budget struct {
@@ -47,6 +49,13 @@
 	return b.limit
 }
 
+// Overrun returns the number of bytes that are reserved beyond the limit.
+func (b *Budget) Overrun() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(0, b.total-b.limit)
+}
+
 // Reserve reserves n bytes for a part, and reports whether they were left.
 func (b *Budget) Reserve(p Part, n int) bool {
 	b.mu.Lock()
--- a/internal/edge/upstream/bounds.go
+++ b/internal/edge/upstream/bounds.go
@@ -51,7 +51,8 @@
 // If they exceed the limit, the largest is given up first, so that the small replies beside a
 // target that sends without end are still read.
 type replyMemory struct {
-	limit int
+	// limit returns the current limit.
+	limit func() int
 
 	mu     sync.Mutex
 	used   int
@@ -65,7 +66,7 @@
 	evicted bool
 }
 
-func newReplyMemory(limit int) *replyMemory {
+func newReplyMemory(limit func() int) *replyMemory {
 	return &replyMemory{limit: limit, bodies: map[*replyBody]struct{}{}}
 }
 
@@ -83,7 +84,7 @@
 	m.bodies[b] = struct{}{}
 	b.bytes += n
 	m.used += n
-	for m.used > m.limit {
+	for limit := m.limit(); m.used > limit; {
 		victim := b
 		for other := range m.bodies {
 			if other.bytes > victim.bytes {
@@ -100,6 +101,18 @@
 	return nil
 }
 
+// hold counts n bytes of a body that was read until it is handed on, and returns the function that ends it.
+func (m *replyMemory) hold(n int) (end func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.used += n
+	return func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.used -= n
+	}
+}
+
 // release removes a body that is no longer in progress and reports whether it was given up.
 func (m *replyMemory) release(b *replyBody) (evicted bool) {
 	m.mu.Lock()
--- a/internal/edge/upstream/hostile_test.go
+++ b/internal/edge/upstream/hostile_test.go
@@ -183,7 +183,7 @@
 // TestLargestReplyIsGivenUpFirst fills the memory for replies. The largest reply in progress
 // must end, and the others must still grow.
 func TestLargestReplyIsGivenUpFirst(t *testing.T) {
-	m := newReplyMemory(100)
+	m := newReplyMemory(func() int { return 100 })
 	bodies := make([]*replyBody, 3)
 	for i, size := range []int{20, 50, 20} {
 		client, server := net.Pipe()
@@ -259,6 +259,7 @@
 			if got.Outcome != relay.Answered || string(got.Response.Body) != body {
 				t.Fatalf("outcome %v (%s), want the whole body", got.Outcome, got.Reason)
 			}
+			got.Handled()
 			if f.client.memory.used != 0 {
 				t.Errorf("%d bytes still counted as in use", f.client.memory.used)
 			}
--- a/internal/edge/upstream/upstream.go
+++ b/internal/edge/upstream/upstream.go
@@ -87,8 +87,8 @@
 }
 
 // New returns a client without connections. The bodies of all replies in progress together
-// occupy at most replyBytes.
-func New(codec Codec, clk sysclock.Clock, tracer *trace.Tracer, replyBytes int) *Client {
+// occupy at most what replyBytes returns, which may change.
+func New(codec Codec, clk sysclock.Clock, tracer *trace.Tracer, replyBytes func() int) *Client {
 	return &Client{
 		codec: codec, clock: clk, tracer: tracer, pool: newPool(), memory: newReplyMemory(replyBytes),
 		exchanges: map[relay.AttemptID]*exchange{},
@@ -180,6 +180,9 @@
 	if c.Unregister(s.Attempt) && reply.Outcome != relay.Answered && !reply.Outcome.NotRun() {
 		reply.Outcome = relay.Cancelled
 	}
+	if r := reply.Response; r != nil && len(r.Body) > bodyBlockBytes {
+		reply.Handled = c.memory.hold(len(r.Body))
+	}
 	return reply
 }
 
--- a/internal/edge/upstream/upstream_test.go
+++ b/internal/edge/upstream/upstream_test.go
@@ -108,7 +108,7 @@
 
 func newFixture(t *testing.T, answer func(c net.Conn, id string, n int) error) *fixture {
 	clk := sysclock.New()
-	f := &fixture{client: New(testCodec{}, clk, trace.NewDisabled(), testReplyBytes), clock: clk, target: startTarget(t, answer)}
+	f := &fixture{client: New(testCodec{}, clk, trace.NewDisabled(), func() int { return testReplyBytes }), clock: clk, target: startTarget(t, answer)}
 	t.Cleanup(f.client.Close)
 	return f
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,7 +114,7 @@
 	if o.Tracer == nil {
 		o.Tracer = trace.NewDisabled()
 	}
-	g.client = upstream.New(o.Codec, g.clock, o.Tracer, g.settings.replyBytes())
+	g.client = upstream.New(o.Codec, g.clock, o.Tracer, g.replyBytes)
 	g.relay = newRelayDuty(relay.Config{
 		Host: g.settings.Host, Zone: g.settings.Zone, Region: g.settings.Region, Regions: g.settings.Regions,
 		Retry: g.settings.Retry, Cold: g.settings.Cold, MaxRequests: maxRequests, InitialHosts: assumedHosts, Seed: seed,
@@ -156,6 +156,13 @@
 	return nil
 }
 
+// replyBytes returns the number of bytes that the bodies of all replies in progress may occupy together:
+// less while answers that their callers do not take have outgrown the budget.
+func (g *Gateway) replyBytes() int {
+	most := g.settings.replyBytes()
+	return max(most/minReplyDivisor, most-int(g.budget.Overrun()))
+}
+
 // connectRelay sets what the relay does with its effects on this host.
 func (g *Gateway) connectRelay() {
 	g.upstream.observeLatency = g.latency.observeAttempt
@@ -214,7 +221,10 @@
 
 func (g *Gateway) deliverAnswer(a relay.Answer) {
 	g.latency.observeRequest(a.Elapsed)
-	g.waiters.Deliver(a.Key, a)
+	g.budget.Force(memory.Answers, a.BodyBytes())
+	if !g.waiters.Offer(a.Key, a) {
+		g.budget.Release(memory.Answers, a.BodyBytes())
+	}
 }
 
 // applyRoster passes the members without failed exchanges, including this host, to the
--- a/internal/gateway/handoff.go
+++ b/internal/gateway/handoff.go
@@ -285,6 +285,7 @@
 	if !ok {
 		answer = relay.Answer{Code: result.QueueFull}
 	}
+	defer h.budget.Release(memory.Answers, answer.BodyBytes())
 	return marshal(wire.FromAnswer(&answer))
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -109,7 +109,7 @@
 		Memory:         g.budget.Usage(),
 		Callers:        g.ingress.Stats(),
 		Balancer:       g.ready.Stats(),
-		ReplyMemory:    ReplyMemory{Limit: g.settings.replyBytes(), Used: g.client.ReplyBytes()},
+		ReplyMemory:    ReplyMemory{Limit: g.replyBytes(), Used: g.client.ReplyBytes()},
 		StoreCalls:     g.discovery.store.Calls(), StoreFailures: g.discovery.store.FailedCalls(),
 		StoreItems: g.discovery.catalog.usage(),
 		Panics:     g.panics.Count(), RelayRestarts: g.relay.restarts.count.Load(),
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -103,6 +103,16 @@
 	r.engine.Advance(now, &r.fx)
 	r.applyEffects(&r.fx)
 	r.publishCounters(now.Mono)
+	handled(events)
+}
+
+// handled tells those that wait for it that events have been handled, or given up after a panic.
+func handled(events []relay.Event) {
+	for _, ev := range events {
+		if a, ok := ev.(*relay.AttemptEnded); ok && a != nil && a.Handled != nil {
+			a.Handled()
+		}
+	}
 }
 
 // untilNextWake returns the time until the relay's next timer expires.
@@ -370,8 +380,8 @@
 		begin := time.Now()
 		if s.Via != "" {
 			u.report(u.handoffs.forwardAttempt(s))
-		} else {
-			u.report(u.client.Do(s))
+		} else if ended := u.client.Do(s); !u.report(ended) {
+			handled([]relay.Event{ended})
 		}
 		u.observeLatency(time.Since(begin))
 	}, failed)
--- a/internal/gateway/restart.go
+++ b/internal/gateway/restart.go
@@ -107,6 +107,7 @@
 		if err == nil {
 			return nil, true
 		}
+		handled(events[:stepped])
 		events = events[stepped:]
 		if !r.restarts.allowed(r.clock.Now().Mono) {
 			r.onFailure(err)
