Control characters in a head are refused

Callers saw: a request with "Content-Length: 5" and "Transfer\rEncoding: chunked", body "0\r\n\r\n", was passed on with an empty body; one with "Content\rLength: 2" beside the length with two of its five bytes.

Cause: hertz compares names with both bytes or'ed with 0x20, and '\r'|0x20 is '-', so it sees fields that the receiving core does not. It checks values for control characters, but neither names nor methods.

Evidence: failed before: "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer\rEncoding: chunked\r\n": status 200, want 400 Found by comparing intake, hertz and net/http on mutated requests.

Why it works: no line of a head that holds a control character, but for tabs in fields, reaches hertz or a target. RFC 9112, 2.2 has a bare CR be invalid. Without control characters hertz's comparison differs from that of ASCII letters for no byte of the names that frame a body.

--- a/internal/core/intake/request.go
+++ b/internal/core/intake/request.go
@@ -201,6 +201,9 @@
 	begin := q.line
 	q.line = q.kept
 	q.lines++
+	if i := bytes.IndexFunc(line, q.isForbidden); i >= 0 {
+		return at + n, refuse(Malformed, "control character %q in line %d of the head", line[i], q.lines)
+	}
 	switch {
 	case q.lines == 1:
 		return at + n, nil
@@ -210,6 +213,12 @@
 	return at + n, q.field(line, begin)
 }
 
+// isForbidden reports whether a character must not be in the last line of the head: another parser might
+// take it for the end of the line or of a word.
+func (q *Request) isForbidden(c rune) bool {
+	return c < ' ' && (c != '\t' || q.lines == 1) || c == 0x7f
+}
+
 // field examines a line of the head that begins at an offset.
 func (q *Request) field(line []byte, begin int) *Refusal {
 	if line[0] == ' ' || line[0] == '\t' {
