A response gives way also between two of its parts

Callers saw: new connections, and requests beyond a block, waited for as long as a slow caller took parts of its response, at most 30 s for each 256 KiB.

Cause: a connection is told to give way by an expired deadline, and the next part of its response set a new one. The table counts the connection as one that gives way until it has ended, so that accept and the growth of requests wait for it and no other is chosen. A lost interrupt; read deadlines were guarded against it.

Evidence: failed before: crowd_test.go:242: writing to a caller that takes nothing: io: read/write on closed pipe, want i/o timeout

Why it works: the deadline is set under the lock of the listener, which the interrupt holds too, and stays expired from then on. The response to a refused request keeps its own deadline of 1 s.

Result: the test passes; httpd passes with -race.

--- a/internal/edge/httpd/crowd_test.go
+++ b/internal/edge/httpd/crowd_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -220,3 +223,22 @@
 		_ = c.Close()
 	}
 }
+
+// TestResponseGivesWayBetweenItsParts guards against a connection that is told to give way after a part of
+// its response was taken: the deadline of the next part kept it, and accept waited for its end.
+func TestResponseGivesWayBetweenItsParts(t *testing.T) {
+	l := newListener(nil, (&Options{}).withDefaults())
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &bufferedConn{conn: &conn{Conn: near, listener: l, entry: l.table.Open(0)}}
+	l.conns[c.entry] = c.conn
+	l.beginWrite(c.conn, writeStep)
+	l.mu.Lock()
+	l.table.GiveWay(c.entry)
+	l.interrupt(c.entry)
+	l.mu.Unlock()
+	time.AfterFunc(time.Second, func() { _ = far.Close() })
+	if err := c.writeInTime(make([]byte, writeStep)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("writing to a caller that takes nothing: %v, want %v", err, os.ErrDeadlineExceeded)
+	}
+}
--- a/internal/edge/httpd/listener.go
+++ b/internal/edge/httpd/listener.go
@@ -331,6 +331,16 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// SetWriteDeadline sets the write deadline, unless the connection was told to give way.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if c.entry.Closing() {
+		t = expired
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // setReceiveDeadline sets the read deadline for a request of which a part has arrived.
 func (c *conn) setReceiveDeadline(t time.Time) {
 	c.listener.mu.Lock()
--- a/internal/edge/httpd/receive.go
+++ b/internal/edge/httpd/receive.go
@@ -186,11 +186,11 @@
 
 // writeNow writes to a caller that is not waited for.
 func (c *bufferedConn) writeNow(p []byte) error {
-	if err := c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)); err != nil {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)); err != nil {
 		return fmt.Errorf("write to caller: %w", err)
 	}
 	_, err := c.Conn.Write(p)
-	return errors.Join(err, c.SetWriteDeadline(time.Time{}))
+	return errors.Join(err, c.Conn.SetWriteDeadline(time.Time{}))
 }
 
 // peekBehind returns a byte behind the request, received if there is none. The rest stays in the socket.
