A request is measured by the limits in force when it begins

Callers saw: 413 (431, 408) to the first request on a kept connection that was idle while the operator raised max_body_bytes (max_header_bytes, header_timeout_ms), though every configuration in force allowed it (DENIED). The same happened on a connection opened before the first configuration.

Cause: the limits were taken when the connection began to wait for the request, not when it began.

Evidence: failed before: limits_test.go:33: status 413 for 11 bytes, the limit is 11

Why it works: the first bytes are awaited before the limits are taken.

--- /dev/null
+++ b/internal/edge/httpd/limits_test.go
@@ -0,0 +1,38 @@
+package httpd
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+)
+
+// TestIdleConnectionTakesNewLimits guards against a request that is measured by the limits that applied
+// when its connection became idle.
+func TestIdleConnectionTakesNewLimits(t *testing.T) {
+	var limit atomic.Int64
+	limit.Store(10)
+	options := Options{Limits: func() RequestLimits { return RequestLimits{BodyBytes: int(limit.Load())} }}
+	s, err := Start("127.0.0.1:0", options, func(h *server.Hertz) {
+		h.Use(func(_ context.Context, c *app.RequestContext) { c.AbortWithStatus(http.StatusOK) })
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	c := dial(t, s)
+	for _, size := range []int{10, 11} {
+		_, _ = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+		if status := responseTo(t, c); status != http.StatusOK {
+			t.Errorf("status %d for %d bytes, the limit is %d", status, size, limit.Load())
+		}
+		time.Sleep(50 * time.Millisecond) // lets the server wait for the next request
+		limit.Store(11)
+	}
+}
--- a/internal/edge/httpd/receive.go
+++ b/internal/edge/httpd/receive.go
@@ -45,9 +45,16 @@
 	if c.partlyRead {
 		return errFraming
 	}
+	c.request.Begin(intake.Limits{})
+	x := reception{begin: c.next}
+	if c.w == x.begin {
+		if err := c.receiveMore(&x, Limits{}); err != nil {
+			return c.interrupted(&x, err)
+		}
+	}
+	// They may have changed while the connection was idle.
 	limits := c.listener.limits()
 	c.request.Begin(limits.Limits)
-	x := reception{begin: c.next}
 	for {
 		if c.w > x.begin {
 			kept, processed, refusal := c.request.Advance(c.in[x.begin:c.w])
