A request whose first bytes came behind another has to arrive in time

Callers saw: a connection whose caller sends a whole request with the first bytes of the next behind it, and no more, stayed open for idle_timeout_ms instead of header_timeout_ms, was not counted as too slow, and ended without a response.

Cause: the time of a request began with the first read for it, and its first bytes had been read before.

Evidence: failed before: limits_test.go:60: status 0, want 408 (after 9 s, header timeout 100 ms)

Why it works: the time begins when the connection turns to the request, if bytes of it are there.

Result: the test passes; httpd passes with -race.

--- a/internal/edge/httpd/limits_test.go
+++ b/internal/edge/httpd/limits_test.go
@@ -1,8 +1,10 @@
 package httpd
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -36,3 +38,26 @@
 		limit.Store(11)
 	}
 }
+
+// TestRequestBehindAnotherHasToArriveInTime guards against a request that may be as slow as a connection may
+// be idle, since its first bytes came with the request before.
+func TestRequestBehindAnotherHasToArriveInTime(t *testing.T) {
+	s, err := Start("127.0.0.1:0", Options{Limits: func() RequestLimits {
+		return RequestLimits{HeaderTimeout: 100 * time.Millisecond}
+	}}, func(h *server.Hertz) {
+		h.Use(func(_ context.Context, c *app.RequestContext) { c.AbortWithStatus(http.StatusOK) })
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	c := dial(t, s)
+	_ = c.SetReadDeadline(time.Now().Add(defaultIdleTimeout / 10))
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\n")
+	r := bufio.NewReader(c)
+	for _, want := range []int{http.StatusOK, http.StatusRequestTimeout} {
+		if status := responseTo(t, r); status != want {
+			t.Errorf("status %d, want %d", status, want)
+		}
+	}
+}
--- a/internal/edge/httpd/receive.go
+++ b/internal/edge/httpd/receive.go
@@ -51,6 +51,8 @@
 		if err := c.receiveMore(&x, Limits{}); err != nil {
 			return c.interrupted(&x, err)
 		}
+	} else {
+		x.began = time.Now()
 	}
 	// They may have changed while the connection was idle.
 	limits := c.listener.limits()
