A body in chunks takes a buffer of at most the size limit

Callers saw: 503 to a single body in chunks within the limits, in calm, where the same body with a length was served: with a budget of 1.5 times the largest body, and in general where twice the body exceeds three quarters of the budget. Elsewhere it held twice its size.

Cause: the buffer of a request without a length doubles, from just under the largest body to nearly twice that.

Evidence: failed before: limits_test.go:71: chunked true: status 503, ""

Why it works: once the head is whole, no more than head and limit of the body can be kept; firstGrownBytes beyond that are room to read framing into.

Result: the test passes; intake and httpd pass with -race.

--- a/internal/core/intake/request.go
+++ b/internal/core/intake/request.go
@@ -128,8 +128,11 @@
 
 // Capacity returns the size that a full buffer of size bytes grows to for the rest of the request.
 func (q *Request) Capacity(size int) int {
-	if q.stage == body {
+	switch {
+	case q.stage == body:
 		return min(q.kept+q.left, max(bodyGrowth*size, firstBodyBytes))
+	case q.stage > body:
+		return min(max(2*size, firstGrownBytes), q.headBytes+q.limits.BodyBytes+firstGrownBytes)
 	}
 	return max(2*size, firstGrownBytes)
 }
--- a/internal/edge/httpd/limits_test.go
+++ b/internal/edge/httpd/limits_test.go
@@ -61,3 +61,14 @@
 		}
 	}
 }
+
+// TestBodyInChunksTakesNoMoreThanOneWithLength guards against a buffer of twice the size of the largest body.
+func TestBodyInChunksTakesNoMoreThanOneWithLength(t *testing.T) {
+	const body = 1 << 20
+	for _, chunked := range []bool{false, true} {
+		s, _ := startBudgeted(t, body*3/2, closed())
+		if status, text := post(t, dial(t, s), body, chunked); status != http.StatusOK {
+			t.Errorf("chunked %t: status %d, %q", chunked, status, text)
+		}
+	}
+}
