--- a/internal/core/intake/request.go
+++ b/internal/core/intake/request.go
@@ -96,6 +96,8 @@
 	// inFraming states that the last field frames the body, so that it must not continue on the next line.
 	inFraming bool
 	expects   bool
+	// current states that the request is in HTTP/1.1, not in an older version.
+	current   bool
 	headBytes int
 	// left is what is missing of the body or the chunk, content the size of the chunks so far.
 	left, content int
@@ -128,8 +130,11 @@
 
 // Capacity returns the size that a full buffer of size bytes grows to for the rest of the request.
 func (q *Request) Capacity(size int) int {
-	if q.stage == body {
+	switch {
+	case q.stage == body:
 		return min(q.kept+q.left, max(bodyGrowth*size, firstBodyBytes))
+	case q.stage > body:
+		return min(max(2*size, firstGrownBytes), q.headBytes+q.limits.BodyBytes+firstGrownBytes)
 	}
 	return max(2*size, firstGrownBytes)
 }
@@ -201,8 +206,12 @@
 	begin := q.line
 	q.line = q.kept
 	q.lines++
+	if i := bytes.IndexFunc(line, q.isForbidden); i >= 0 {
+		return at + n, refuse(Malformed, "control character %q in line %d of the head", line[i], q.lines)
+	}
 	switch {
 	case q.lines == 1:
+		q.current = bytes.HasSuffix(line, []byte(" HTTP/1.1"))
 		return at + n, nil
 	case len(line) == 0:
 		return at + n, q.endHead()
@@ -210,6 +219,12 @@
 	return at + n, q.field(line, begin)
 }
 
+// isForbidden reports whether a character must not be in the last line of the head: another parser might
+// take it for the end of the line or of a word.
+func (q *Request) isForbidden(c rune) bool {
+	return c < ' ' && (c != '\t' || q.lines == 1) || c == 0x7f
+}
+
 // field examines a line of the head that begins at an offset.
 func (q *Request) field(line []byte, begin int) *Refusal {
 	if line[0] == ' ' || line[0] == '\t' {
@@ -230,14 +245,15 @@
 		return q.setBody(value)
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		q.inFraming = true
-		if q.sized || q.chunked || !bytes.EqualFold(value, []byte("chunked")) {
-			return refuse(Malformed, "transfer encoding %.32q, want one that is %q and no length", value, "chunked")
+		// HTTP/1.0 has no transfer encodings: some parsers read on behind the head.
+		if !q.current || q.sized || q.chunked || !bytes.EqualFold(value, []byte("chunked")) {
+			return refuse(Malformed, "transfer encoding %.32q, want one in HTTP/1.1 that is %q and no length", value, "chunked")
 		}
 		q.chunked, q.encoding = true, [2]int{begin, begin + len(line)}
 	case bytes.EqualFold(name, []byte("Expect")):
 		q.inFraming = true
 		if bytes.EqualFold(value, []byte("100-continue")) {
-			q.expects = true
+			q.expects = q.current
 			// The interim response is sent by whoever reads the request.
 			for i := range value {
 				value[i] = ' '
--- a/internal/edge/httpd/receive.go
+++ b/internal/edge/httpd/receive.go
@@ -45,9 +45,18 @@
 	if c.partlyRead {
 		return errFraming
 	}
+	c.request.Begin(intake.Limits{})
+	x := reception{begin: c.next}
+	if c.w == x.begin {
+		if err := c.receiveMore(&x, Limits{}); err != nil {
+			return c.interrupted(&x, err)
+		}
+	} else {
+		x.began = time.Now()
+	}
+	// They may have changed while the connection was idle.
 	limits := c.listener.limits()
 	c.request.Begin(limits.Limits)
-	x := reception{begin: c.next}
 	for {
 		if c.w > x.begin {
 			kept, processed, refusal := c.request.Advance(c.in[x.begin:c.w])
@@ -186,11 +195,11 @@
 
 // writeNow writes to a caller that is not waited for.
 func (c *bufferedConn) writeNow(p []byte) error {
-	if err := c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)); err != nil {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)); err != nil {
 		return fmt.Errorf("write to caller: %w", err)
 	}
 	_, err := c.Conn.Write(p)
-	return errors.Join(err, c.SetWriteDeadline(time.Time{}))
+	return errors.Join(err, c.Conn.SetWriteDeadline(time.Time{}))
 }
 
 // peekBehind returns a byte behind the request, received if there is none. The rest stays in the socket.
