A peer of an empty store is not watched without a pause

What callers saw: nothing yet. While the store's revision is 0, each host that follows a peer calls it again as soon as it has replied: a thousand calls a second at a round trip of a millisecond, from each host of the availability zone, at the one that calls the store.

Cause: a watch of a peer does not wait while this host is at revision 0, and the reply of a peer that is in contact with the store and has nothing either is not stale. The pause after a reply without changes is 0 for a peer. Class: a loop whose only pause is the other side's, as with a store that replies at once.

Evidence: TestPeerOfEmptyStoreIsNotCalledWithoutPause failed before ("1000 watches in a second, want at most 6").

Change: at revision 0 the next watch of a peer comes after the pause that follows changes. Once there is a revision, a watch waits at the peer, as before.

Result: the test passes, as do those of the package with the race detector.

--- a/internal/core/discovery/discovery.go
+++ b/internal/core/discovery/discovery.go
@@ -553,7 +553,7 @@
 // coalesce returns the delay before the next watch of the current source.
 func (f *Follower) coalesce(now clock.Instant, changed bool) time.Duration {
 	switch {
-	case f.current != storeSource && changed:
+	case f.current != storeSource && (changed || f.view.Revision == 0): // watches of a peer do not wait at revision 0
 		return coalesceDelay
 	case f.current != storeSource:
 		return 0
--- a/internal/core/discovery/propagation_test.go
+++ b/internal/core/discovery/propagation_test.go
@@ -63,3 +63,22 @@
 		t.Errorf("%d watches in a second, want at most %d", calls, maxPerSecond+1)
 	}
 }
+
+// TestPeerOfEmptyStoreIsNotCalledWithoutPause guards against a host that uses up its processor, and that
+// of its source, while the store holds nothing: the first watches of a peer do not wait.
+func TestPeerOfEmptyStoreIsNotCalledWithoutPause(t *testing.T) {
+	const roundTrip, maxPerSecond = time.Millisecond, 5
+	h := newHarness(t)
+	h.step(&Sources{Hosts: []string{"peer", "self"}})
+	h.step(&Page{})
+	calls := 0
+	for begin := h.now.Mono; h.now.Mono < begin+time.Second; h.advance(roundTrip) {
+		if h.f.callInProgress {
+			calls++
+			h.step(&Changes{Path: []string{"peer"}})
+		}
+	}
+	if calls > maxPerSecond+1 {
+		t.Errorf("%d watches in a second, want at most %d", calls, maxPerSecond+1)
+	}
+}
