Limits and rates beyond a whole number are shared by all hosts

What callers saw: nothing yet. If a target names a limit of 1e20 requests a second, all hosts but one send it nothing; with a cold_slack, cold_factor or cold_per_s of that size, no host sends a cold target anything.

Cause: the number of hosts that share a limit is the limit, converted to a whole number. The result of that is not defined beyond its range: the least number on amd64, so that a huge limit counted as one too small to share, and the greatest on arm64. Class: conversion of a float that another process or the settings give.

Evidence: TestHugeLimitIsShared failed before, on amd64 ("host p0 has no share of a cold target's requests", "host p0 has no share of a target's limit", and the others but one likewise).

Change: the figure is bounded by the number of hosts before it is converted. More sharers than hosts never meant more than all of them, so that no share changes for figures in range.

Result: the test passes, as do those of the package with the race detector.

--- a/internal/core/relay/cold.go
+++ b/internal/core/relay/cold.go
@@ -97,7 +97,7 @@
 	if now.Mono < e.slackFrom {
 		hosts = max(hosts, e.cfg.InitialHosts)
 	}
-	sharers := int(burst)
+	sharers := int(min(burst, float64(hosts)))
 	switch {
 	case sharers >= hosts || len(e.members) == 0:
 		sharers = max(1, hosts)
--- a/internal/core/relay/limit.go
+++ b/internal/core/relay/limit.go
@@ -121,7 +121,7 @@
 	l.fill(now.Mono)
 	hosts := e.connectingHosts(t.spec.Service, t.region)
 	limit := max(l.perSecond, minLimit)
-	sharers := max(1, int(hostsPerLimit*limit))
+	sharers := max(1, int(min(hostsPerLimit*limit, float64(hosts))))
 	switch {
 	case sharers >= hosts || len(e.members) == 0:
 		l.rate = limit / float64(max(1, hosts))
