The division of a dropped route's shards is forgotten

What callers saw: nothing yet. A host keeps how it divides the shards of each route with many of them, also of routes that no configuration names any more: a list and a map of the services for each name that a route ever had.

Cause: the divisions are replaced for the same route and region, and never dropped. Class: what is kept for each name that was ever seen, as with targets that left.

Evidence: TestPartitionsOfDroppedRoutesAreForgotten failed before ("6 partitions are kept, want at most 1" after 5 configurations).

Change: where the routes to divide are worked out anew, the divisions of the others are dropped.

Result: the test passes, as do those of the package with the race detector.

--- a/internal/core/relay/handoff_test.go
+++ b/internal/core/relay/handoff_test.go
@@ -552,3 +552,21 @@
 		}
 	}
 }
+
+// TestPartitionsOfDroppedRoutesAreForgotten guards against a host whose memory grows with each
+// configuration that names routes anew.
+func TestPartitionsOfDroppedRoutesAreForgotten(t *testing.T) {
+	const shards, versions = 2 * minPartShards, 5
+	sim := newSimulation(t, shards)
+	sim.step(&MembersChanged{Members: members(6)})
+	for version := range uint64(versions) {
+		v := testView(shards)
+		all := *v.Config.Routes[0]
+		all.Name = fmt.Sprintf("all of version %d", version)
+		v.Config = catalog.NewConfig(2+version, []*catalog.Route{&all}, v.Config.Services, catalog.Limits{})
+		sim.step(&ViewChanged{View: v})
+	}
+	if n := len(sim.engine.partitions); n > 1 {
+		t.Errorf("%d partitions are kept, want at most 1", n)
+	}
+}
--- a/internal/core/relay/partition.go
+++ b/internal/core/relay/partition.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -149,6 +150,7 @@
 			e.divideRoute(route, region)
 		}
 	}
+	maps.DeleteFunc(e.partitions, func(key partitionKey, _ *partition) bool { return e.divided[key] == nil })
 }
 
 func (e *Engine) divideRoute(route *catalog.Route, region string) {
