A panic of a dial does not cut a peer off for good

What callers saw: nothing yet. A panic on the worker that dials a peer ends only that worker, but every later call to the peer waits for the dial to end, until its own time-out, as long as the process lives: handoffs, gossip and the catalog of a host that follows the peer.

Cause: the dial is marked as ended after it has returned, which a panic skips. Class: a panic of a worker that is not reported to those who wait for it, as with attempts, handoffs and checks.

Evidence: TestPanicOfDialLosesNoLaterCall failed before ("second call: reply "", error call was not sent: wait for the dial to host "b": i/o timeout").

Change: the end of a dial is reported by a deferred call, with an error unless the dial has returned. The panic itself still reaches OnPanic, with its stack.

Result: the test passes, as do those of the package with the race detector.

--- a/internal/edge/mesh/call.go
+++ b/internal/edge/mesh/call.go
@@ -192,9 +192,10 @@
 	}
 	done := make(chan outcome, 1)
 	err := m.linkWorkers.Submit(func() {
-		l, err := m.connect(host)
-		ended()
-		done <- outcome{l, err}
+		l, err := m.connectThen(host, func(l *link, err error) {
+			ended()
+			done <- outcome{l, err}
+		})
 		if err == nil {
 			l.serve()
 		}
--- a/internal/edge/mesh/dial.go
+++ b/internal/edge/mesh/dial.go
@@ -55,8 +55,7 @@
 
 // dialPersistent establishes a link and serves it until it ends.
 func (m *Mesh) dialPersistent(host release.Host) {
-	l, err := m.connect(host)
-	m.finishDial(host.Name)
+	l, err := m.connectThen(host, func(*link, error) { m.finishDial(host.Name) })
 	if err != nil {
 		m.options.Log.Debug().Str("event", "mesh_dial_failed").Str("peer", host.Name).Err(err).Send()
 		return
--- a/internal/edge/mesh/dial_test.go
+++ b/internal/edge/mesh/dial_test.go
@@ -71,3 +71,36 @@
 		t.Errorf("second call returned %q, %v", reply, err)
 	}
 }
+
+// TestPanicOfDialLosesNoLaterCall guards against a host that never reaches a peer again, since every
+// call waits for a dial that has panicked.
+func TestPanicOfDialLosesNoLaterCall(t *testing.T) {
+	panics := make(chan error, 1)
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	a := startPeer(t, "a", 1, func(o *Options) {
+		o.OnPanic = func(err error) { panics <- err }
+		o.Dial = func(address string, timeout time.Duration) (net.Conn, error) {
+			select {
+			case <-first:
+				panic("dial")
+			default:
+				return dialTCP(address, timeout)
+			}
+		}
+	})
+	b := startPeer(t, "b", 2, nil)
+	b.Handle(wire.CallKind_CALL_KIND_NOTE, func(string, []byte) []byte { return []byte("reply") })
+	hosts := []release.Host{a.host(), b.host()}
+	b.SetHosts(hosts, nil)
+	a.SetHosts(hosts, nil)
+	if _, err := a.Call("b", wire.CallKind_CALL_KIND_NOTE, nil, time.Second); !errors.Is(err, ErrNotSent) {
+		t.Errorf("error of the first call is %v, want ErrNotSent", err)
+	}
+	if err := <-panics; err == nil {
+		t.Error("the panic is not reported")
+	}
+	if reply, err := a.Call("b", wire.CallKind_CALL_KIND_NOTE, nil, 5*time.Second); err != nil || string(reply) != "reply" {
+		t.Errorf("second call: reply %q, error %v", reply, err)
+	}
+}
--- a/internal/edge/mesh/hello.go
+++ b/internal/edge/mesh/hello.go
@@ -59,6 +59,17 @@
 	}
 }
 
+var errDialPanicked = errors.New("dial panicked")
+
+// connectThen is connect, and calls ended with its result, also if it panics: calls wait for that.
+func (m *Mesh) connectThen(host release.Host, ended func(*link, error)) (*link, error) {
+	var l *link
+	err := errDialPanicked
+	defer func() { ended(l, err) }()
+	l, err = m.connect(host)
+	return l, err
+}
+
 // connect dials a host, performs the handshake and registers the link.
 func (m *Mesh) connect(host release.Host) (*link, error) {
 	conn, err := m.dial(host)
