An error that nobody reads does not keep a host from ending

What callers saw: nothing yet. A host that ends with an error, as after a panic of a duty or with settings that it cannot use, does not end if nobody reads its standard error: it neither serves nor is started again.

Cause: the log does not wait for its reader any more, but the error with which a command ends is written to standard error afterwards, which blocks on a full pipe. Class: as with the log, an end that waits for another process.

Evidence: TestUnreadErrorDoesNotKeepProcess failed before ("the process is kept").

Change: the error is written by a duty, as the log is, for which the process waits 500 ms at most.

Result: the test passes, also with the race detector. The tests of the package that start processes were not run.

--- a/cmd/pollentack/main.go
+++ b/cmd/pollentack/main.go
@@ -78,7 +78,7 @@
 	if errors.Is(err, errFailed) {
 		return exitFailed
 	}
-	fmt.Fprintln(stderr, err)
+	printError(err, stderr)
 	var usageErr *usageError
 	if errors.As(err, &usageErr) {
 		return exitUsage
@@ -86,6 +86,16 @@
 	return exitFailed
 }
 
+// printError prints an error, unless nobody reads stderr: that must not keep the process from ending.
+func printError(err error, stderr io.Writer) {
+	out, startErr := startHostLog(stderr)
+	if startErr != nil {
+		return
+	}
+	defer out.close()
+	fmt.Fprintln(out, err)
+}
+
 // usageError is an error in the command line or an input file, as opposed to a failure at
 // run time.
 type usageError struct{ err error }
