Mesh: a handshake ends although a frame does not

Seen: 450 connections that each send half a data frame of yamux keep all 400 descriptors for as long as they stay; neither peers nor callers of the front are answered.

Cause: the session holds the lock of the stream's receive buffer while it waits for the rest of a frame. Stream.Read waits for that lock and does not look at its deadline, so that handshakeTimeout never ended such a handshake, and its worker and descriptor stayed taken.

The connection itself now has a deadline until the hello is accepted, on both sides: its end fails the session's read, which gives the lock back.

--- a/internal/edge/mesh/hello.go
+++ b/internal/edge/mesh/hello.go
@@ -20,6 +20,11 @@
 // join again.
 const incarnationRetention = 30 * time.Second
 
+// helloTimeout bounds the handshake on a connection once TLS is set up: the wait for the heartbeat
+// stream, and the exchange of hellos. The deadline of a stream does not end a read while the session
+// waits for the rest of a frame of that stream.
+const helloTimeout = 2 * handshakeTimeout
+
 var (
 	errStopped   = errors.New("mesh is stopping")
 	errDuplicate = errors.New("there is already a link to this peer")
@@ -109,6 +114,9 @@
 // dialSession performs the dialing side of the handshake: it opens the session and the
 // heartbeat stream, exchanges hellos and registers the link.
 func (m *Mesh) dialSession(conn net.Conn, peer string) (*link, error) {
+	if err := conn.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return nil, fmt.Errorf("set deadline: %w", err)
+	}
 	framed := newFrameConn(conn)
 	session, err := yamux.Client(framed, m.sessionConfig(true))
 	if err != nil {
@@ -126,6 +134,9 @@
 	if err == nil {
 		err = m.checkHello(remote, conn, peer)
 	}
+	if err == nil {
+		err = conn.SetReadDeadline(time.Time{})
+	}
 	if err != nil {
 		return nil, errors.Join(err, session.Close())
 	}
@@ -163,13 +174,16 @@
 			return nil, err
 		}
 	}
+	if err := conn.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return nil, fmt.Errorf("set deadline: %w", err)
+	}
 	stranger := &strangerConn{Conn: conn}
 	framed := newFrameConn(stranger)
 	session, err := yamux.Server(framed, m.sessionConfig(false))
 	if err != nil {
 		return nil, fmt.Errorf("open session: %w", err)
 	}
-	l, err := m.answerHello(conn, session, framed.waits, func() { stranger.known.Store(true) })
+	l, err := m.answerHello(conn, session, framed.waits, stranger.accept)
 	if err != nil {
 		return nil, errors.Join(err, session.Close())
 	}
@@ -179,7 +193,7 @@
 // answerHello accepts the heartbeat stream, checks the dialer's hello, registers the link
 // and writes the local hello, with the reason if the link is refused. It calls accepted before it tells
 // the peer that the link is accepted.
-func (m *Mesh) answerHello(conn net.Conn, session *yamux.Session, waits *streamWaits, accepted func()) (*link, error) {
+func (m *Mesh) answerHello(conn net.Conn, session *yamux.Session, waits *streamWaits, accepted func() error) (*link, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
 	stream, err := session.AcceptStreamWithContext(ctx)
@@ -208,8 +222,10 @@
 		_, _ = io.ReadFull(stream, make([]byte, 1))
 		return nil, err
 	}
-	accepted()
-	if err := writeFrame(stream, local, wire.MaxHelloBytes); err != nil {
+	if err = accepted(); err == nil {
+		err = writeFrame(stream, local, wire.MaxHelloBytes)
+	}
+	if err != nil {
 		m.unregister(l)
 		return nil, err
 	}
--- a/internal/edge/mesh/stranger_test.go
+++ b/internal/edge/mesh/stranger_test.go
@@ -66,3 +66,21 @@
 		t.Errorf("%d names, known host %v, first stranger %v, want %d, true, false", n, known, first, maxSeenNames)
 	}
 }
+
+// TestHandshakeEndsDespiteHalfAFrame guards against connections that stay for ever because the session
+// waits for the rest of a frame.
+func TestHandshakeEndsDespiteHalfAFrame(t *testing.T) {
+	conn, err := net.Dial("tcp", startPeer(t, "p", 1, nil).Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	// The header of a data frame of 100 bytes that opens stream 1, and one byte of it.
+	if _, err = conn.Write([]byte{0, frameTypeData, 0, frameFlagSYN, 0, 0, 0, 1, 0, 0, 0, 100, 'x'}); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout + 5*time.Second))
+	if _, err = io.Copy(io.Discard, conn); err != nil {
+		t.Errorf("read until the peer closes the connection: %v", err)
+	}
+}
