Mesh: bound the handshakes of strangers at a time

Seen: 450 silent connections take all 400 descriptors of the process for 4 s, and can come back at once; meanwhile nothing else gets a descriptor.

Cause: handshakes were bounded only by the workers for links (1,024), which links, dials and probes need as well, and not by the descriptors.

Evidence, before: TestControlBearsSilentConnections and TestControlBearsUnfinishedFrames logged "400 at the peak" of 400 descriptors (both passed, as their handshakes end after 4 s).

At most 512 connections, or an eighth of the descriptors if that is less, wait for their hello to be accepted. The oldest gives way to a new one, so that a crowd that reconnects does not shut out peers, whose handshake takes a round trip. Handshakes have workers of their own in number. The metrics of the gateway now have the counters of the mesh.

--- a/internal/edge/mesh/counters.go
+++ b/internal/edge/mesh/counters.go
@@ -22,6 +22,7 @@
 	CallsRefused       uint64            `json:"calls_refused"`
 	FramesOversized    uint64            `json:"frames_oversized"`
 	FramesMalformed    uint64            `json:"frames_malformed"`
+	HandshakesEvicted  uint64            `json:"handshakes_evicted"`
 	Refused            map[string]uint64 `json:"refused,omitempty"`
 }
 
@@ -35,6 +36,7 @@
 	callsMade, callsServed                                atomic.Uint64
 	callsRefused                                          atomic.Uint64
 	framesOversized, framesMalformed                      atomic.Uint64
+	handshakesEvicted                                     atomic.Uint64
 
 	refused [refusalCount]atomic.Uint64
 }
@@ -58,6 +60,7 @@
 		CallsRefused:       c.callsRefused.Load(),
 		FramesOversized:    c.framesOversized.Load(),
 		FramesMalformed:    c.framesMalformed.Load(),
+		HandshakesEvicted:  c.handshakesEvicted.Load(),
 	}
 	for reason := range c.refused {
 		if n := c.refused[reason].Load(); n > 0 {
--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -99,6 +99,8 @@
 	// hosts can reach. Host names are learned from hellos. Heartbeats are optional, so dead
 	// links are detected by the keep-alive of the sessions.
 	Insecure bool
+	// Descriptors is the limit on the descriptors of the process, 0 if it is not known.
+	Descriptors int
 }
 
 // Mesh holds the links of one host to its peers.
@@ -111,6 +113,7 @@
 	callWorkers *duty.Workers
 	wakeups     *ring.Ring[struct{}]
 	counters    counters
+	handshakes  *handshakes
 
 	mu         sync.Mutex
 	stopped    bool
@@ -154,6 +157,7 @@
 		nextDialAt: map[string]time.Time{},
 		links:      map[string]*link{},
 		lastSeen:   map[string]seenIncarnation{},
+		handshakes: newHandshakes(o.Descriptors),
 	}
 	var err error
 	m.addSeeds()
@@ -194,7 +198,7 @@
 
 func (m *Mesh) startDuties() error {
 	var err error
-	if m.linkWorkers, err = duty.NewWorkers(maxLinks*workersPerLink, m.options.OnPanic); err != nil {
+	if m.linkWorkers, err = duty.NewWorkers(maxLinks*workersPerLink+maxHandshakes, m.options.OnPanic); err != nil {
 		return err
 	}
 	if m.callWorkers, err = duty.NewWorkers(maxIncomingCalls, m.options.OnPanic); err != nil {
@@ -287,7 +291,15 @@
 
 // serveConn performs the accepting side of the handshake and serves the link until it ends.
 func (m *Mesh) serveConn(conn net.Conn) {
+	number, evicted := m.handshakes.begin(conn)
+	if evicted != nil {
+		m.counters.handshakesEvicted.Add(1)
+		m.options.Log.Warn().Str("event", "mesh_handshake_evicted").Str("remote", evicted.RemoteAddr().String()).
+			Str("reason", "too many handshakes").Int("limit", m.handshakes.limit).Send()
+		_ = evicted.Close()
+	}
 	l, err := m.acceptSession(conn)
+	m.handshakes.end(number)
 	if err != nil {
 		m.options.Log.Debug().Str("event", "mesh_link_refused").Str("remote", conn.RemoteAddr().String()).Err(err).Send()
 		_ = conn.Close()
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -58,7 +58,7 @@
 	f.mesh, err = mesh.Start(mesh.Options{
 		Host: s.Host, Zone: s.Zone, Incarnation: membership.Incarnation{Started: started, Nonce: seed},
 		Listen: s.Listen.Mesh, Insecure: true, Log: log, Emit: f.ignoreLinkEvent, ObserveRTT: f.observeRoundTrip, Dial: dial,
-		OnPanic: onPanic, Stamp: tr.stamp, Observe: tr.observeHello,
+		OnPanic: onPanic, Stamp: tr.stamp, Observe: tr.observeHello, Descriptors: s.descriptors(),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,6 +12,7 @@
 	"pollentack.example/pollentack/internal/core/relay"
 	"pollentack.example/pollentack/internal/edge/httpd"
 	"pollentack.example/pollentack/internal/edge/memory"
+	"pollentack.example/pollentack/internal/edge/mesh"
 	"pollentack.example/pollentack/internal/ring"
 )
 
@@ -90,6 +91,7 @@
 	StoreCalls     uint64         `json:"store_calls"`
 	StoreFailures  uint64         `json:"store_failures"`
 	StoreItems     StoreItems     `json:"store_items"`
+	Mesh           mesh.Stats     `json:"mesh"`
 	// Panics is the number of panics that ended only the work for one request or message.
 	Panics uint64 `json:"panics"`
 	// RelayRestarts is the number of panics after which the relay began anew.
@@ -112,6 +114,7 @@
 		ReplyMemory:    ReplyMemory{Limit: g.settings.replyBytes(), Used: g.client.ReplyBytes()},
 		StoreCalls:     g.discovery.store.Calls(), StoreFailures: g.discovery.store.FailedCalls(),
 		StoreItems: g.discovery.catalog.usage(),
+		Mesh:       g.fleet.mesh.Stats(),
 		Panics:     g.panics.Count(), RelayRestarts: g.relay.restarts.count.Load(),
 		Rings: []ring.Stats{g.relay.inbox.Stats(), g.upstream.inbox.Stats(), g.discovery.inbox.Stats()},
 	}
