Mesh: a frame that has begun on a link must end

Cause, the same as in handshakes: the session holds the lock of a stream while it waits for the rest of a frame, and the deadline of the stream is not looked at, so that half a frame on an accepted link keeps its stream's worker for as long as the peer stays. Found by reading; no test of the crowd sends it after a hello.

The connection of a session now follows the frames that arrive. While one is unfinished, the connection has a read deadline, 10 s from the first bytes of that frame; otherwise it has none. No system call is added; a read that holds only whole frames sets no deadline. The deadline of the handshake has moved to the same place.

--- a/internal/edge/mesh/frameconn.go
+++ b/internal/edge/mesh/frameconn.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"net"
+	"sync"
+	"time"
 
 	"github.com/hashicorp/yamux"
 )
@@ -23,10 +26,15 @@
 // memory, and for a longer body one more system call matters little.
 const maxJoinedBytes = 16 << 10
 
+// frameTimeout bounds the time in which a frame that has begun must have arrived.
+const frameTimeout = 10 * time.Second
+
 // frameConn joins the writes of a yamux session. A session writes the header and the body of a
 // frame separately, and a frame that opens a stream before the first data, which together cost
 // three system calls and wake the peer as often. Headers that something is certain to follow
 // are held back and written with it. Only the session's send loop writes.
+//
+// It also watches the frames that arrive. Only the session's receive loop reads.
 type frameConn struct {
 	net.Conn
 	held []byte
@@ -34,6 +42,12 @@
 	bodyFollows bool
 	// waits are the waits on the session's streams, which end with the connection.
 	waits *streamWaits
+
+	mu          sync.Mutex
+	frames      frameScanner
+	established bool
+	// timed is set while there is a read deadline.
+	timed bool
 }
 
 func newFrameConn(conn net.Conn) *frameConn {
@@ -43,12 +57,66 @@
 // Read implements net.Conn. The waits end before the session learns of an error.
 func (c *frameConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if err == nil {
+		err = c.watch(b[:n])
+	}
 	if err != nil {
 		c.waits.end()
 	}
 	return n, err
 }
 
+// watch examines bytes that have arrived.
+func (c *frameConn) watch(b []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begun := false
+	for len(b) > 0 {
+		begun = begun || !c.frames.unfinished()
+		n, _ := c.frames.scan(b)
+		b = b[n:]
+	}
+	if c.established && (c.timed || begun) {
+		return c.limitFrame(begun)
+	}
+	return nil
+}
+
+// limitFrame sets the read deadline if a frame is unfinished, anew if it has just begun, and clears it
+// otherwise.
+func (c *frameConn) limitFrame(begun bool) error {
+	unfinished := c.frames.unfinished()
+	if unfinished == c.timed && (!unfinished || !begun) {
+		return nil
+	}
+	c.timed = unfinished
+	var deadline time.Time
+	if unfinished {
+		deadline = time.Now().Add(frameTimeout)
+	}
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return fmt.Errorf("set deadline of a frame: %w", err)
+	}
+	return nil
+}
+
+// limitHandshake sets the read deadline for the time until establish is called.
+func (c *frameConn) limitHandshake() error {
+	c.timed = true
+	if err := c.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return fmt.Errorf("set deadline of the handshake: %w", err)
+	}
+	return nil
+}
+
+// establish ends the time limit of the handshake. From now on only frames that have begun are limited.
+func (c *frameConn) establish() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.established = true
+	return c.limitFrame(true)
+}
+
 // Close implements net.Conn. A session that ends for any other reason closes its connection.
 func (c *frameConn) Close() error {
 	c.waits.end()
--- a/internal/edge/mesh/hello.go
+++ b/internal/edge/mesh/hello.go
@@ -114,10 +114,10 @@
 // dialSession performs the dialing side of the handshake: it opens the session and the
 // heartbeat stream, exchanges hellos and registers the link.
 func (m *Mesh) dialSession(conn net.Conn, peer string) (*link, error) {
-	if err := conn.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
-		return nil, fmt.Errorf("set deadline: %w", err)
-	}
 	framed := newFrameConn(conn)
+	if err := framed.limitHandshake(); err != nil {
+		return nil, err
+	}
 	session, err := yamux.Client(framed, m.sessionConfig(true))
 	if err != nil {
 		return nil, fmt.Errorf("open session: %w", err)
@@ -135,7 +135,7 @@
 		err = m.checkHello(remote, conn, peer)
 	}
 	if err == nil {
-		err = conn.SetReadDeadline(time.Time{})
+		err = framed.establish()
 	}
 	if err != nil {
 		return nil, errors.Join(err, session.Close())
@@ -174,16 +174,19 @@
 			return nil, err
 		}
 	}
-	if err := conn.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
-		return nil, fmt.Errorf("set deadline: %w", err)
-	}
 	stranger := &strangerConn{Conn: conn}
 	framed := newFrameConn(stranger)
+	if err := framed.limitHandshake(); err != nil {
+		return nil, err
+	}
 	session, err := yamux.Server(framed, m.sessionConfig(false))
 	if err != nil {
 		return nil, fmt.Errorf("open session: %w", err)
 	}
-	l, err := m.answerHello(conn, session, framed.waits, stranger.accept)
+	l, err := m.answerHello(conn, session, framed.waits, func() error {
+		stranger.known.Store(true)
+		return framed.establish()
+	})
 	if err != nil {
 		return nil, errors.Join(err, session.Close())
 	}
--- a/internal/edge/mesh/stranger.go
+++ b/internal/edge/mesh/stranger.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"sync/atomic"
-	"time"
 )
 
 // maxStrangerBytes bounds what is received on a connection before the peer's hello is accepted. A session
@@ -19,15 +18,6 @@
 	received int
 }
 
-// accept ends the bounds on what is received and when.
-func (c *strangerConn) accept() error {
-	c.known.Store(true)
-	if err := c.SetReadDeadline(time.Time{}); err != nil {
-		return fmt.Errorf("clear deadline: %w", err)
-	}
-	return nil
-}
-
 // Read implements net.Conn.
 func (c *strangerConn) Read(b []byte) (int, error) {
 	if c.known.Load() {
