Connections leave a quarter of the budget to requests

Callers saw: 503 to every request whose head or body is longer than a block (4 KiB), for as long as a crowd kept connections open without a request, where the budget is smaller than 32 KiB for each connection that the descriptors allow (below some 190 MB of memory with 4,100 descriptors).

Cause: connections could take the whole budget. A request that grows displaces other requests that are not whole, but no connection, and these held nothing else.

Evidence: failed before: crowd_test.go:255: status 503, "", budget {Limit:1310720 Used:1310720 Peak:1310720 Parts:map[connections:1310720 messages:0 requests:0] Denied:22}

Why it works: connections take at most three quarters of the budget, the same share as requests that are not whole, and what is beyond gives way by the rule for new connections. A listener for operators has 48 connections instead of 64.

--- a/internal/edge/httpd/crowd_test.go
+++ b/internal/edge/httpd/crowd_test.go
@@ -242,3 +242,16 @@
 		t.Errorf("writing to a caller that takes nothing: %v, want %v", err, os.ErrDeadlineExceeded)
 	}
 }
+
+// TestIdleConnectionsLeaveRoomForRequests guards against a crowd of connections without a request that
+// takes the whole budget, so that every request beyond a block is refused.
+func TestIdleConnectionsLeaveRoomForRequests(t *testing.T) {
+	const crowd = 40
+	s, budget := startBudgeted(t, crowd*connectionBytes, closed())
+	for range crowd {
+		dial(t, s)
+	}
+	if status, body := post(t, dial(t, s), 5*BlockBytes, false); status != http.StatusOK {
+		t.Errorf("status %d, %q, budget %+v", status, body, budget.Usage())
+	}
+}
--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -52,7 +52,7 @@
 
 const (
 	// operatorBytes bounds what the connections of a listener for operators or a balancer hold, apart
-	// from those of callers. It is enough for 64 connections.
+	// from those of callers. It is enough for 48 connections.
 	operatorBytes = 2 << 20
 	// operatorMessageBytes bounds the head and the body of a request to it.
 	operatorMessageBytes = 16 << 10
--- a/internal/edge/httpd/listener.go
+++ b/internal/edge/httpd/listener.go
@@ -28,6 +28,10 @@
 	// connectionBytes is what a connection costs beside the requests on it: its block, the stacks of
 	// its threads and the state that hertz keeps for it.
 	connectionBytes = 32 << 10
+	// Connections may take connectionsNumerator/connectionsDenominator of the budget, so that there is
+	// room for requests beside any number of them.
+	connectionsNumerator   = 3
+	connectionsDenominator = 4
 	// headCopies is the number of copies of a head that hertz keeps until its connection is closed.
 	headCopies = 3
 )
@@ -124,8 +128,12 @@
 
 // reserveConnection reserves what a connection takes and reports whether it was left.
 func (l *listener) reserveConnection() bool {
-	most := l.options.MaxConnections
-	return (most == 0 || l.table.Len() < most) && l.options.Budget.Reserve(memory.Connections, connectionBytes)
+	budget := l.options.Budget
+	most := max(1, int(budget.Limit()/connectionsDenominator*connectionsNumerator/connectionBytes))
+	if l.options.MaxConnections > 0 {
+		most = min(most, l.options.MaxConnections)
+	}
+	return l.table.Len() < most && budget.Reserve(memory.Connections, connectionBytes)
 }
 
 func (l *listener) now() time.Duration { return time.Since(l.started) }
