A transfer encoding in HTTP/1.0 is refused

Callers saw: a chunked body in HTTP/1.0 read as one, where another party reads no body and takes the chunks for the next request. A caller of HTTP/1.0 also got an interim response, which that version does not know.

Cause: the receiving core did not look at the version. RFC 9112, 6.1 has such a message be treated as one of faulty framing, and RFC 9110, 10.1.1 has its Expect be ignored.

Result: the test passes; intake and httpd pass with -race.

--- a/internal/core/intake/request.go
+++ b/internal/core/intake/request.go
@@ -96,6 +96,8 @@
 	// inFraming states that the last field frames the body, so that it must not continue on the next line.
 	inFraming bool
 	expects   bool
+	// current states that the request is in HTTP/1.1, not in an older version.
+	current   bool
 	headBytes int
 	// left is what is missing of the body or the chunk, content the size of the chunks so far.
 	left, content int
@@ -209,6 +211,7 @@
 	}
 	switch {
 	case q.lines == 1:
+		q.current = bytes.HasSuffix(line, []byte(" HTTP/1.1"))
 		return at + n, nil
 	case len(line) == 0:
 		return at + n, q.endHead()
@@ -242,14 +245,15 @@
 		return q.setBody(value)
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		q.inFraming = true
-		if q.sized || q.chunked || !bytes.EqualFold(value, []byte("chunked")) {
-			return refuse(Malformed, "transfer encoding %.32q, want one that is %q and no length", value, "chunked")
+		// HTTP/1.0 has no transfer encodings: some parsers read on behind the head.
+		if !q.current || q.sized || q.chunked || !bytes.EqualFold(value, []byte("chunked")) {
+			return refuse(Malformed, "transfer encoding %.32q, want one in HTTP/1.1 that is %q and no length", value, "chunked")
 		}
 		q.chunked, q.encoding = true, [2]int{begin, begin + len(line)}
 	case bytes.EqualFold(name, []byte("Expect")):
 		q.inFraming = true
 		if bytes.EqualFold(value, []byte("100-continue")) {
-			q.expects = true
+			q.expects = q.current
 			// The interim response is sent by whoever reads the request.
 			for i := range value {
 				value[i] = ' '
--- a/internal/core/intake/request_test.go
+++ b/internal/core/intake/request_test.go
@@ -77,6 +77,7 @@
 		"two lengths":         {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n", Malformed},
 		"length and chunks":   {"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", Malformed},
 		"other encoding":      {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", Malformed},
+		"chunks in HTTP/1.0":  {"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", Malformed},
 		"continued encoding":  {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n , gzip\r\n\r\n", Malformed},
 		"size ends with LF":   {chunked + "1\nx", Malformed},
 		"no end of the chunk": {chunked + "1\r\nxx", Malformed},
