Mesh: bound the pings on a connection

Cause: yamux starts a goroutine for each ping, which waits up to 3 s for room in the queue of frames to send. A peer whose hello is accepted may send any number of them.

A connection on which more than 32 pings arrive within a second is closed before the session sees those bytes. Hosts send one ping in 5 s and one after a call that times out. The counter connections_misused and the log event mesh_connection_misused name the reason.

--- a/internal/edge/mesh/counters.go
+++ b/internal/edge/mesh/counters.go
@@ -23,6 +23,7 @@
 	FramesOversized    uint64            `json:"frames_oversized"`
 	FramesMalformed    uint64            `json:"frames_malformed"`
 	HandshakesEvicted  uint64            `json:"handshakes_evicted"`
+	ConnectionsMisused uint64            `json:"connections_misused"`
 	Refused            map[string]uint64 `json:"refused,omitempty"`
 }
 
@@ -36,7 +37,7 @@
 	callsMade, callsServed                                atomic.Uint64
 	callsRefused                                          atomic.Uint64
 	framesOversized, framesMalformed                      atomic.Uint64
-	handshakesEvicted                                     atomic.Uint64
+	handshakesEvicted, connectionsMisused                 atomic.Uint64
 
 	refused [refusalCount]atomic.Uint64
 }
@@ -61,6 +62,7 @@
 		FramesOversized:    c.framesOversized.Load(),
 		FramesMalformed:    c.framesMalformed.Load(),
 		HandshakesEvicted:  c.handshakesEvicted.Load(),
+		ConnectionsMisused: c.connectionsMisused.Load(),
 	}
 	for reason := range c.refused {
 		if n := c.refused[reason].Load(); n > 0 {
--- a/internal/edge/mesh/frameconn.go
+++ b/internal/edge/mesh/frameconn.go
@@ -19,6 +19,7 @@
 
 	frameTypeData         = 0
 	frameTypeWindowUpdate = 1
+	frameTypePing         = 2
 	frameFlagSYN          = 1
 )
 
@@ -48,17 +49,24 @@
 	established bool
 	// timed is set while there is a read deadline.
 	timed bool
+	pings pingLimit
+	// onMisuse receives why the connection ends because of what the peer has sent.
+	onMisuse func(error)
 }
 
 func newFrameConn(conn net.Conn) *frameConn {
-	return &frameConn{Conn: conn, waits: &streamWaits{streams: map[*yamux.Stream]struct{}{}}}
+	return &frameConn{Conn: conn, onMisuse: func(error) {}, waits: &streamWaits{streams: map[*yamux.Stream]struct{}{}}}
 }
 
-// Read implements net.Conn. The waits end before the session learns of an error.
+// Read implements net.Conn. The waits end before the session learns of an error. Nothing is passed on of
+// bytes with which the peer exceeds a bound.
 func (c *frameConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if err == nil {
-		err = c.watch(b[:n])
+		if err = c.watch(b[:n]); err != nil {
+			n = 0
+			c.onMisuse(err)
+		}
 	}
 	if err != nil {
 		c.waits.end()
@@ -73,8 +81,13 @@
 	begun := false
 	for len(b) > 0 {
 		begun = begun || !c.frames.unfinished()
-		n, _ := c.frames.scan(b)
+		n, complete := c.frames.scan(b)
 		b = b[n:]
+		if h := &c.frames.header; complete && h.kind() == frameTypePing && h.has(frameFlagSYN) {
+			if err := c.pings.add(time.Now()); err != nil {
+				return err
+			}
+		}
 	}
 	if c.established && (c.timed || begun) {
 		return c.limitFrame(begun)
--- a/internal/edge/mesh/frames.go
+++ b/internal/edge/mesh/frames.go
@@ -2,13 +2,16 @@
 
 import (
 	"encoding/binary"
+	"fmt"
+	"time"
 )
 
 // frameHeader is the header of a yamux frame.
 type frameHeader [frameHeaderBytes]byte
 
-func (h *frameHeader) kind() byte     { return h[frameTypeOffset] }
-func (h *frameHeader) length() uint32 { return binary.BigEndian.Uint32(h[frameLengthOffset:]) }
+func (h *frameHeader) kind() byte        { return h[frameTypeOffset] }
+func (h *frameHeader) has(f uint16) bool { return binary.BigEndian.Uint16(h[frameFlagsOffset:])&f != 0 }
+func (h *frameHeader) length() uint32    { return binary.BigEndian.Uint32(h[frameLengthOffset:]) }
 
 // frameScanner finds the frames in the bytes that a session receives.
 type frameScanner struct {
@@ -40,3 +43,30 @@
 
 // unfinished reports whether a frame has begun and not ended.
 func (s *frameScanner) unfinished() bool { return s.headerBytes > 0 || s.bodyLeft > 0 }
+
+const (
+	// maxPings bounds the pings that are answered on a connection within pingInterval. The session starts
+	// a goroutine for each.
+	maxPings     = 32
+	pingInterval = time.Second
+)
+
+// errPings states that a peer has sent more than maxPings.
+var errPings = fmt.Errorf("more than %d pings in %v", maxPings, pingInterval)
+
+// pingLimit counts the pings on a connection.
+type pingLimit struct {
+	since time.Time
+	count int
+}
+
+// add counts a ping that arrives now.
+func (l *pingLimit) add(now time.Time) error {
+	if now.Sub(l.since) >= pingInterval {
+		l.since, l.count = now, 0
+	}
+	if l.count++; l.count > maxPings {
+		return errPings
+	}
+	return nil
+}
--- a/internal/edge/mesh/frames_test.go
+++ b/internal/edge/mesh/frames_test.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"bytes"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -56,3 +58,26 @@
 		t.Errorf("deadline %v when the next frame has begun, want a later one than %v", got, second)
 	}
 }
+
+// TestPingsWithoutEndEndTheConnection guards against a goroutine for each ping that a peer sends.
+func TestPingsWithoutEndEndTheConnection(t *testing.T) {
+	ping := []byte{0, frameTypePing, 0, frameFlagSYN, 0, 0, 0, 0, 0, 0, 0, 1}
+	a, b := net.Pipe()
+	defer a.Close()
+	var misuse error
+	c := newFrameConn(b)
+	c.onMisuse = func(err error) { misuse = err }
+	go func() { _, _ = a.Write(bytes.Repeat(ping, 2*maxPings)) }()
+	n, err := c.Read(make([]byte, 2*maxPings*len(ping)))
+	if n != 0 || !errors.Is(err, errPings) || !errors.Is(misuse, errPings) {
+		t.Errorf("%d bytes are passed on with error %v, misuse %v, want 0 and %v", n, err, misuse, errPings)
+	}
+	var l pingLimit
+	for second := range 3 {
+		for range maxPings {
+			if err := l.add(time.Unix(int64(second), 0)); err != nil {
+				t.Errorf("second %d: %v", second, err)
+			}
+		}
+	}
+}
--- a/internal/edge/mesh/hello.go
+++ b/internal/edge/mesh/hello.go
@@ -115,6 +115,7 @@
 // heartbeat stream, exchanges hellos and registers the link.
 func (m *Mesh) dialSession(conn net.Conn, peer string) (*link, error) {
 	framed := newFrameConn(conn)
+	framed.onMisuse = m.misuse(conn)
 	if err := framed.limitHandshake(); err != nil {
 		return nil, err
 	}
@@ -176,6 +177,7 @@
 	}
 	stranger := &strangerConn{Conn: conn}
 	framed := newFrameConn(stranger)
+	framed.onMisuse = m.misuse(conn)
 	if err := framed.limitHandshake(); err != nil {
 		return nil, err
 	}
--- a/internal/edge/mesh/stranger.go
+++ b/internal/edge/mesh/stranger.go
@@ -31,3 +31,11 @@
 	c.received += n
 	return n, err
 }
+
+// misuse returns a function that counts and logs why a connection ends because of what the peer has sent.
+func (m *Mesh) misuse(conn net.Conn) func(error) {
+	return func(err error) {
+		m.counters.connectionsMisused.Add(1)
+		m.options.Log.Warn().Str("event", "mesh_connection_misused").Str("remote", conn.RemoteAddr().String()).Err(err).Send()
+	}
+}
