Mesh: count what peers' calls hold in the memory budget

Seen: four peers that send calls of 1.06 MB which stop short of their end take the process over 1,500 MB of 96 MB.

Cause: up to 2,048 calls at a time each held a message buffer and the receive buffer of their stream (256 KB), and none of it was in the budget of the process. Replies that a peer does not read were not either.

The connection of a session, which follows its frames, now accounts for the bytes that arrive on each stream that the peer opened, three bytes of the budget for one. A request is unfinished until it has arrived whole, a reply until it is written; both are released after the reply, or once both sides have closed the stream. Unfinished calls may take half of the budget, or an eighth if callers have taken the rest. Beyond that the link that holds the most of them is closed at once: an ordinary peer holds less than one that fills the memory. What did not arrive whole has not run. A whole request is refused as busy, not run, if the budget is used up and over an eighth of it is held by calls in progress. A peer may have 2,304 streams open on a link, which bounds the accounts themselves. Replies to this host's own calls are not counted.

--- a/internal/edge/memory/budget.go
+++ b/internal/edge/memory/budget.go
@@ -61,6 +61,13 @@
 	return true
 }
 
+// Exceeded reports whether more than the limit is reserved.
+func (b *Budget) Exceeded() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.total > b.limit
+}
+
 // Force reserves n bytes for a part beyond the limit.
 func (b *Budget) Force(p Part, n int) {
 	b.mu.Lock()
--- a/internal/edge/mesh/call.go
+++ b/internal/edge/mesh/call.go
@@ -116,7 +116,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
 	resp := &wire.Response{}
-	if err := m.readFrame(stream, resp, wire.MaxCallBytes); err != nil {
+	if _, err := m.readFrame(stream, resp, wire.MaxCallBytes); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
 	if resp.GetStatus() != wire.Status_STATUS_OK {
@@ -220,6 +220,7 @@
 func (l *link) serveCalls(stream *yamux.Stream) {
 	l.streams.waits.add(stream)
 	defer l.streams.close(stream)
+	defer l.inflow.close(stream.StreamID())
 	if err := l.streams.waits.setReadDeadline(stream, time.Now().Add(requestTimeout)); err != nil {
 		return
 	}
@@ -235,16 +236,26 @@
 // stream may be used again.
 func (l *link) serveCall(stream *yamux.Stream) bool {
 	req := &wire.Request{}
-	if err := l.mesh.readFrame(stream, req, wire.MaxCallBytes); err != nil {
+	id := stream.StreamID()
+	n, err := l.mesh.readFrame(stream, req, wire.MaxCallBytes)
+	if err != nil {
 		return false
 	}
 	defer l.countCall()()
+	if !l.inflow.serve(id, n) {
+		l.mesh.counters.callsRefused.Add(1)
+		l.mesh.options.Log.Warn().Str("event", "mesh_call_refused").Str("peer", l.peer).Str("reason", "no memory is left for calls").Send()
+		defer l.inflow.done(id, n)
+		return writeFrame(stream, &wire.Response{Status: wire.Status_STATUS_BUSY}, wire.MaxCallBytes) == nil
+	}
 	l.mesh.counters.callsServed.Add(1)
 	resp := &wire.Response{Status: wire.Status_STATUS_UNKNOWN_KIND}
 	if h := l.mesh.handler(req.GetKind()); h != nil {
 		resp.Payload = h(l.peer, req.GetPayload())
 		resp.Status = wire.Status_STATUS_OK
 	}
+	l.inflow.transfer(id, len(resp.GetPayload()))
+	defer l.inflow.done(id, n+len(resp.GetPayload()))
 	return writeFrame(stream, resp, wire.MaxCallBytes) == nil
 }
 
@@ -254,6 +265,7 @@
 	if stream.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
 		_ = writeFrame(stream, &wire.Response{Status: wire.Status_STATUS_BUSY}, wire.MaxCallBytes)
 	}
+	l.inflow.close(stream.StreamID())
 	_ = stream.Close()
 }
 
--- a/internal/edge/mesh/frameconn.go
+++ b/internal/edge/mesh/frameconn.go
@@ -1,7 +1,9 @@
 package mesh
 
 import (
+	"crypto/tls"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -15,12 +17,15 @@
 	frameHeaderBytes  = 12
 	frameTypeOffset   = 1
 	frameFlagsOffset  = 2
+	frameStreamOffset = 4
 	frameLengthOffset = 8
 
 	frameTypeData         = 0
 	frameTypeWindowUpdate = 1
 	frameTypePing         = 2
 	frameFlagSYN          = 1
+	frameFlagFIN          = 4
+	frameFlagRST          = 8
 )
 
 // maxJoinedBytes is the longest body that is copied behind its header. Each link keeps that much
@@ -50,12 +55,35 @@
 	// timed is set while there is a read deadline.
 	timed bool
 	pings pingLimit
+	// inflow accounts for what arrives.
+	inflow *inflow
 	// onMisuse receives why the connection ends because of what the peer has sent.
 	onMisuse func(error)
 }
 
-func newFrameConn(conn net.Conn) *frameConn {
-	return &frameConn{Conn: conn, onMisuse: func(error) {}, waits: &streamWaits{streams: map[*yamux.Stream]struct{}{}}}
+func newFrameConn(conn net.Conn, g *ledger) *frameConn {
+	c := &frameConn{Conn: conn, onMisuse: func(error) {}, waits: &streamWaits{streams: map[*yamux.Stream]struct{}{}}}
+	c.inflow = g.newInflow(c.cut)
+	return c
+}
+
+// cut ends the session from any thread. Unlike that of TLS, the Close of a TCP connection does not wait.
+func (c *frameConn) cut(err error) {
+	c.onMisuse(err)
+	conn := c.Conn
+	if stranger, ok := conn.(*strangerConn); ok {
+		conn = stranger.Conn
+	}
+	if secured, ok := conn.(*tls.Conn); ok {
+		conn = secured.NetConn()
+	}
+	_ = conn.Close()
+}
+
+// end ends the waits on the session's streams, and the accounts of what they hold.
+func (c *frameConn) end() {
+	c.waits.end()
+	c.inflow.end()
 }
 
 // Read implements net.Conn. The waits end before the session learns of an error. Nothing is passed on of
@@ -65,11 +93,13 @@
 	if err == nil {
 		if err = c.watch(b[:n]); err != nil {
 			n = 0
-			c.onMisuse(err)
+			if !errors.Is(err, net.ErrClosed) {
+				c.onMisuse(err)
+			}
 		}
 	}
 	if err != nil {
-		c.waits.end()
+		c.end()
 	}
 	return n, err
 }
@@ -81,12 +111,20 @@
 	begun := false
 	for len(b) > 0 {
 		begun = begun || !c.frames.unfinished()
+		body := c.frames.bodyLeft > 0
 		n, complete := c.frames.scan(b)
 		b = b[n:]
-		if h := &c.frames.header; complete && h.kind() == frameTypePing && h.has(frameFlagSYN) {
-			if err := c.pings.add(time.Now()); err != nil {
-				return err
-			}
+		var err error
+		switch h := &c.frames.header; {
+		case body:
+			c.inflow.transfer(h.stream(), n)
+		case complete && h.kind() == frameTypePing && h.has(frameFlagSYN):
+			err = c.pings.add(time.Now())
+		case complete && h.kind() <= frameTypeWindowUpdate:
+			err = c.inflow.frame(h)
+		}
+		if err != nil {
+			return err
 		}
 	}
 	if c.established && (c.timed || begun) {
@@ -132,7 +170,7 @@
 
 // Close implements net.Conn. A session that ends for any other reason closes its connection.
 func (c *frameConn) Close() error {
-	c.waits.end()
+	c.end()
 	return c.Conn.Close()
 }
 
@@ -140,7 +178,7 @@
 func (c *frameConn) Write(b []byte) (int, error) {
 	n, err := c.write(b)
 	if err != nil {
-		c.waits.end()
+		c.end()
 	}
 	return n, err
 }
--- a/internal/edge/mesh/frameconn_test.go
+++ b/internal/edge/mesh/frameconn_test.go
@@ -31,11 +31,11 @@
 	near, far := net.Pipe()
 	tap := &tappedConn{Conn: near}
 	config := (&Mesh{}).sessionConfig(true)
-	client, err := yamux.Client(newFrameConn(tap), config)
+	client, err := yamux.Client(newFrameConn(tap, newLedger(nil)), config)
 	if err != nil {
 		t.Fatal(err)
 	}
-	server, err := yamux.Server(newFrameConn(far), config)
+	server, err := yamux.Server(newFrameConn(far, newLedger(nil)), config)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/mesh/frames.go
+++ b/internal/edge/mesh/frames.go
@@ -11,6 +11,7 @@
 
 func (h *frameHeader) kind() byte        { return h[frameTypeOffset] }
 func (h *frameHeader) has(f uint16) bool { return binary.BigEndian.Uint16(h[frameFlagsOffset:])&f != 0 }
+func (h *frameHeader) stream() uint32    { return binary.BigEndian.Uint32(h[frameStreamOffset:]) }
 func (h *frameHeader) length() uint32    { return binary.BigEndian.Uint32(h[frameLengthOffset:]) }
 
 // frameScanner finds the frames in the bytes that a session receives.
--- a/internal/edge/mesh/frames_test.go
+++ b/internal/edge/mesh/frames_test.go
@@ -22,7 +22,7 @@
 // TestFrameThatHasBegunMustEnd guards against a peer that holds the lock of a stream with half a frame.
 func TestFrameThatHasBegunMustEnd(t *testing.T) {
 	conn := &deadlineConn{}
-	c := newFrameConn(conn)
+	c := newFrameConn(conn, newLedger(nil))
 	if err := c.limitHandshake(); err != nil {
 		t.Fatal(err)
 	}
@@ -65,7 +65,7 @@
 	a, b := net.Pipe()
 	defer a.Close()
 	var misuse error
-	c := newFrameConn(b)
+	c := newFrameConn(b, newLedger(nil))
 	c.onMisuse = func(err error) { misuse = err }
 	go func() { _, _ = a.Write(bytes.Repeat(ping, 2*maxPings)) }()
 	n, err := c.Read(make([]byte, 2*maxPings*len(ping)))
--- a/internal/edge/mesh/hello.go
+++ b/internal/edge/mesh/hello.go
@@ -114,7 +114,7 @@
 // dialSession performs the dialing side of the handshake: it opens the session and the
 // heartbeat stream, exchanges hellos and registers the link.
 func (m *Mesh) dialSession(conn net.Conn, peer string) (*link, error) {
-	framed := newFrameConn(conn)
+	framed := newFrameConn(conn, m.ledger)
 	framed.onMisuse = m.misuse(conn)
 	if err := framed.limitHandshake(); err != nil {
 		return nil, err
@@ -142,7 +142,7 @@
 		return nil, errors.Join(err, session.Close())
 	}
 	m.observeHello(remote)
-	l := newLink(m, session, framed.waits, stream, remote)
+	l := newLink(m, session, framed, stream, remote)
 	if err := m.register(l, m.options.Host); err != nil {
 		return nil, errors.Join(err, session.Close())
 	}
@@ -157,7 +157,7 @@
 	if err := writeFrame(stream, local, wire.MaxHelloBytes); err != nil {
 		return err
 	}
-	if err := m.readFrame(stream, remote, wire.MaxHelloBytes); err != nil {
+	if _, err := m.readFrame(stream, remote, wire.MaxHelloBytes); err != nil {
 		return err
 	}
 	if err := stream.SetDeadline(time.Time{}); err != nil {
@@ -176,7 +176,7 @@
 		}
 	}
 	stranger := &strangerConn{Conn: conn}
-	framed := newFrameConn(stranger)
+	framed := newFrameConn(stranger, m.ledger)
 	framed.onMisuse = m.misuse(conn)
 	if err := framed.limitHandshake(); err != nil {
 		return nil, err
@@ -185,7 +185,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open session: %w", err)
 	}
-	l, err := m.answerHello(conn, session, framed.waits, func() error {
+	l, err := m.answerHello(conn, session, framed, func() error {
 		stranger.known.Store(true)
 		return framed.establish()
 	})
@@ -198,7 +198,7 @@
 // answerHello accepts the heartbeat stream, checks the dialer's hello, registers the link
 // and writes the local hello, with the reason if the link is refused. It calls accepted before it tells
 // the peer that the link is accepted.
-func (m *Mesh) answerHello(conn net.Conn, session *yamux.Session, waits *streamWaits, accepted func() error) (*link, error) {
+func (m *Mesh) answerHello(conn net.Conn, session *yamux.Session, framed *frameConn, accepted func() error) (*link, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
 	stream, err := session.AcceptStreamWithContext(ctx)
@@ -209,11 +209,13 @@
 		return nil, fmt.Errorf("set deadline: %w", err)
 	}
 	remote := &wire.Hello{}
-	if err := m.readFrame(stream, remote, wire.MaxHelloBytes); err != nil {
+	n, err := m.readFrame(stream, remote, wire.MaxHelloBytes)
+	if err != nil {
 		return nil, err
 	}
+	framed.inflow.done(stream.StreamID(), n)
 	local := m.newHello(remote.GetHost())
-	l := newLink(m, session, waits, stream, remote)
+	l := newLink(m, session, framed, stream, remote)
 	err = m.checkHello(remote, conn, remote.GetHost())
 	if err == nil {
 		m.observeHello(remote)
--- a/internal/edge/mesh/link.go
+++ b/internal/edge/mesh/link.go
@@ -25,6 +25,7 @@
 	heartbeats  *yamux.Stream
 	outbox      *ring.Ring[*wire.Heartbeat]
 	streams     streamPool
+	inflow      *inflow
 	// calls is the number of calls in progress, in both directions. lastUsed is when the last
 	// one ended, in nanoseconds since the Unix epoch.
 	calls    atomic.Int64
@@ -35,15 +36,16 @@
 	closeOnce sync.Once
 }
 
-func newLink(m *Mesh, session *yamux.Session, waits *streamWaits, heartbeats *yamux.Stream, h *wire.Hello) *link {
-	waits.add(heartbeats)
+func newLink(m *Mesh, session *yamux.Session, framed *frameConn, heartbeats *yamux.Stream, h *wire.Hello) *link {
+	framed.waits.add(heartbeats)
 	l := &link{
 		mesh:        m,
 		peer:        h.GetHost(),
 		incarnation: h.GetIncarnation().ToCore(),
 		session:     session,
 		heartbeats:  heartbeats,
-		streams:     streamPool{session: session, waits: waits, reusable: h.GetReusesStreams()},
+		streams:     streamPool{session: session, waits: framed.waits, reusable: h.GetReusesStreams()},
+		inflow:      framed.inflow,
 		outbox:      ring.New[*wire.Heartbeat]("mesh "+h.GetHost(), outboxCapacity),
 	}
 	l.lastUsed.Store(time.Now().UnixNano())
@@ -156,9 +158,11 @@
 			}
 		}
 		h := &wire.Heartbeat{}
-		if err := l.mesh.readFrame(l.heartbeats, h, wire.MaxHeartbeatBytes); err != nil {
+		n, err := l.mesh.readFrame(l.heartbeats, h, wire.MaxHeartbeatBytes)
+		if err != nil {
 			return
 		}
+		l.inflow.done(l.heartbeats.StreamID(), n)
 		l.mesh.counters.heartbeatsReceived.Add(1)
 		l.mesh.options.Emit(&membership.HeartbeatReceived{Peer: l.peer, Incarnation: l.incarnation, Heartbeat: h.ToCore()})
 	}
@@ -183,17 +187,17 @@
 	return nil
 }
 
-// readFrame reads one frame of at most limit bytes into msg, and counts oversized and
+// readFrame reads one frame of at most limit bytes into msg and returns its length. It counts oversized and
 // malformed frames.
-func (m *Mesh) readFrame(r io.Reader, msg proto.Message, limit int) error {
-	_, err := wire.ReadFrame(r, msg, limit)
+func (m *Mesh) readFrame(r io.Reader, msg proto.Message, limit int) (int, error) {
+	n, err := wire.ReadFrame(r, msg, limit)
 	switch {
 	case err == nil:
-		return nil
+		return n, nil
 	case errors.Is(err, wire.ErrOversized):
 		m.counters.framesOversized.Add(1)
 	case errors.Is(err, wire.ErrMalformed):
 		m.counters.framesMalformed.Add(1)
 	}
-	return fmt.Errorf("mesh stream: %w", err)
+	return n, fmt.Errorf("mesh stream: %w", err)
 }
--- a/internal/edge/mesh/mesh.go
+++ b/internal/edge/mesh/mesh.go
@@ -21,6 +21,7 @@
 	"pollentack.example/pollentack/internal/core/release"
 	"pollentack.example/pollentack/internal/duty"
 	"pollentack.example/pollentack/internal/edge/listen"
+	"pollentack.example/pollentack/internal/edge/memory"
 	"pollentack.example/pollentack/internal/ring"
 	"pollentack.example/pollentack/internal/settings"
 	"pollentack.example/pollentack/internal/wire"
@@ -101,6 +102,8 @@
 	Insecure bool
 	// Descriptors is the limit on the descriptors of the process, 0 if it is not known.
 	Descriptors int
+	// Memory, if set, is the budget of what the calls of peers hold here.
+	Memory *memory.Budget
 }
 
 // Mesh holds the links of one host to its peers.
@@ -114,6 +117,7 @@
 	wakeups     *ring.Ring[struct{}]
 	counters    counters
 	handshakes  *handshakes
+	ledger      *ledger
 
 	mu         sync.Mutex
 	stopped    bool
@@ -158,6 +162,7 @@
 		links:      map[string]*link{},
 		lastSeen:   map[string]seenIncarnation{},
 		handshakes: newHandshakes(o.Descriptors),
+		ledger:     newLedger(o.Memory),
 	}
 	var err error
 	m.addSeeds()
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -13,6 +13,7 @@
 	"pollentack.example/pollentack/internal/core/membership"
 	"pollentack.example/pollentack/internal/core/release"
 	"pollentack.example/pollentack/internal/duty"
+	"pollentack.example/pollentack/internal/edge/memory"
 	"pollentack.example/pollentack/internal/edge/mesh"
 	"pollentack.example/pollentack/internal/edge/sysclock"
 	"pollentack.example/pollentack/internal/ring"
@@ -46,7 +47,7 @@
 	table atomic.Pointer[fleet.Snapshot]
 }
 
-func newFleetDuty(s *Settings, clk sysclock.Clock, seed uint64, log zerolog.Logger, tr *transits, dial mesh.DialFunc, onPanic func(error)) (*fleetDuty, error) {
+func newFleetDuty(s *Settings, clk sysclock.Clock, seed uint64, log zerolog.Logger, tr *transits, dial mesh.DialFunc, budget *memory.Budget, onPanic func(error)) (*fleetDuty, error) {
 	started := uint64(clk.Now().Wall)
 	f := &fleetDuty{
 		clock:     clk,
@@ -58,7 +59,7 @@
 	f.mesh, err = mesh.Start(mesh.Options{
 		Host: s.Host, Zone: s.Zone, Incarnation: membership.Incarnation{Started: started, Nonce: seed},
 		Listen: s.Listen.Mesh, Insecure: true, Log: log, Emit: f.ignoreLinkEvent, ObserveRTT: f.observeRoundTrip, Dial: dial,
-		OnPanic: onPanic, Stamp: tr.stamp, Observe: tr.observeHello, Descriptors: s.descriptors(),
+		OnPanic: onPanic, Stamp: tr.stamp, Observe: tr.observeHello, Descriptors: s.descriptors(), Memory: budget,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,7 +124,7 @@
 	}
 	g.connectRelay()
 	measured := newTransits(g.clock)
-	if g.fleet, err = newFleetDuty(g.settings, g.clock, seed, g.log, measured, o.Dial, g.panics.Report); err != nil {
+	if g.fleet, err = newFleetDuty(g.settings, g.clock, seed, g.log, measured, o.Dial, g.budget, g.panics.Report); err != nil {
 		return err
 	}
 	g.fleet.record = g.logDecision
