Mesh: a request or a reply that has begun must be transferred

Cause: only the first request on a stream had a deadline. Half of a later request, or a reply that the peer does not read, held its worker (of 2,048 for all peers) for as long as the peer stayed. Found by reading; the tests of the crowd send nothing after a whole call.

The accounts of the streams know when a transfer began. The duty that closes unused links ends the streams on which one takes more than 10 s, with a counter (transfers_expired) and a log line. A call whose bytes are there at once costs no timer; the read deadline of a stream is now cleared once instead of after each call.

TestTransferThatHasBegunMustEnd sends half a request after a whole one and leaves a reply of 1 MB unread; the link itself stays.

--- a/internal/edge/mesh/call.go
+++ b/internal/edge/mesh/call.go
@@ -216,17 +216,19 @@
 }
 
 // serveCalls serves the calls on a stream, one after another, until the peer closes it. The first
-// request must arrive within requestTimeout.
+// request must arrive within requestTimeout. Once a request or a reply has begun, it must be transferred
+// within transferTimeout.
 func (l *link) serveCalls(stream *yamux.Stream) {
 	l.streams.waits.add(stream)
+	l.inflow.attach(stream.StreamID(), func() { l.mesh.endTransfer(l.peer, stream) })
 	defer l.streams.close(stream)
 	defer l.inflow.close(stream.StreamID())
 	if err := l.streams.waits.setReadDeadline(stream, time.Now().Add(requestTimeout)); err != nil {
 		return
 	}
-	for l.serveCall(stream) {
+	for first := true; l.serveCall(stream); first = false {
 		stream.Shrink()
-		if err := l.streams.waits.setReadDeadline(stream, time.Time{}); err != nil {
+		if first && l.streams.waits.setReadDeadline(stream, time.Time{}) != nil {
 			return
 		}
 	}
--- a/internal/edge/mesh/counters.go
+++ b/internal/edge/mesh/counters.go
@@ -24,6 +24,7 @@
 	FramesMalformed    uint64            `json:"frames_malformed"`
 	HandshakesEvicted  uint64            `json:"handshakes_evicted"`
 	ConnectionsMisused uint64            `json:"connections_misused"`
+	TransfersExpired   uint64            `json:"transfers_expired"`
 	Refused            map[string]uint64 `json:"refused,omitempty"`
 }
 
@@ -38,6 +39,7 @@
 	callsRefused                                          atomic.Uint64
 	framesOversized, framesMalformed                      atomic.Uint64
 	handshakesEvicted, connectionsMisused                 atomic.Uint64
+	transfersExpired                                      atomic.Uint64
 
 	refused [refusalCount]atomic.Uint64
 }
@@ -63,6 +65,7 @@
 		FramesMalformed:    c.framesMalformed.Load(),
 		HandshakesEvicted:  c.handshakesEvicted.Load(),
 		ConnectionsMisused: c.connectionsMisused.Load(),
+		TransfersExpired:   c.transfersExpired.Load(),
 	}
 	for reason := range c.refused {
 		if n := c.refused[reason].Load(); n > 0 {
--- a/internal/edge/mesh/dial.go
+++ b/internal/edge/mesh/dial.go
@@ -67,7 +67,9 @@
 // closeUnusedLinks closes replaced links after drainTimeout, idle links made on demand, links whose
 // peer does not answer a probe, and the unused streams of the others.
 func (m *Mesh) closeUnusedLinks() {
-	m.ledger.expire(time.Now())
+	for _, end := range m.ledger.expire(time.Now()) {
+		end()
+	}
 	m.mu.Lock()
 	var unused []*link
 	var streams []idleStream
--- a/internal/edge/mesh/inflow.go
+++ b/internal/edge/mesh/inflow.go
@@ -23,6 +23,8 @@
 	// maxStreams bounds the streams that a peer has open on a link: those of calls in progress and those
 	// that wait in the session to be accepted.
 	maxStreams = maxIncomingCalls + 256
+	// transferTimeout bounds the time in which a request or a reply that has begun must be transferred.
+	transferTimeout = 10 * time.Second
 )
 
 var (
@@ -57,6 +59,10 @@
 	// unfinished are the bytes of a request or a reply whose transfer has not ended. served are those of
 	// requests that are being served.
 	unfinished, served int
+	// begunAt is when the first of the unfinished bytes came.
+	begunAt time.Time
+	// expire ends the waits of the stream's worker. It is nil until there is one.
+	expire func()
 	// closedAt is when this host closed the stream, of which the session keeps what it has received until
 	// the peer closes it too, for heartbeatTimeout at most.
 	closedAt   time.Time
@@ -117,12 +123,21 @@
 	return nil
 }
 
+// attach sets the function that ends the waits of a stream's worker.
+func (f *inflow) attach(id uint32, expire func()) {
+	f.ledger.mu.Lock()
+	defer f.ledger.mu.Unlock()
+	if s := f.streams[id]; s != nil {
+		s.expire = expire
+	}
+}
+
 // close states that this host closes a stream.
 func (f *inflow) close(id uint32) {
 	f.ledger.mu.Lock()
 	defer f.ledger.mu.Unlock()
 	if s := f.streams[id]; s != nil {
-		s.closedAt = time.Now()
+		s.closedAt, s.expire = time.Now(), nil
 		f.removeClosed(id, s)
 	}
 }
@@ -157,6 +172,9 @@
 	if s == nil {
 		return nil
 	}
+	if s.unfinished == 0 {
+		s.begunAt = time.Now()
+	}
 	room := g.budget.Reserve(memory.Messages, n)
 	if !room {
 		g.budget.Force(memory.Messages, n)
@@ -219,15 +237,21 @@
 	f.ledger.budget.Release(memory.Messages, n)
 }
 
-// expire removes streams that the session has given up.
-func (g *ledger) expire(now time.Time) {
+// expire removes streams that the session has given up, and returns functions that end transfers which
+// take too long.
+func (g *ledger) expire(now time.Time) (ends []func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for f := range g.flows {
 		for id, s := range f.streams {
-			if !s.closedAt.IsZero() && now.Sub(s.closedAt) > heartbeatTimeout {
+			switch {
+			case !s.closedAt.IsZero() && now.Sub(s.closedAt) > heartbeatTimeout:
 				f.remove(id, s)
+			case s.unfinished > 0 && s.expire != nil && now.Sub(s.begunAt) > transferTimeout:
+				ends = append(ends, s.expire)
+				s.begunAt = now
 			}
 		}
 	}
+	return ends
 }
--- a/internal/edge/mesh/inflow_test.go
+++ b/internal/edge/mesh/inflow_test.go
@@ -130,6 +130,45 @@
 	}
 }
 
+// TestTransferThatHasBegunMustEnd guards against workers that a peer holds with half of a request, after a
+// whole one on the same stream, or by not reading a reply.
+func TestTransferThatHasBegunMustEnd(t *testing.T) {
+	p := startInsecure(t, "p", 64<<20)
+	p.Handle(wire.CallKind_CALL_KIND_GOSSIP, func(string, []byte) []byte { return make([]byte, 1<<20) })
+	session := linkRaw(t, p, "raw")
+	halfRequest, unread := openRaw(t, session), openRaw(t, session)
+	request := &wire.Request{Kind: wire.CallKind_CALL_KIND_NOTE}
+	if _, err := wire.WriteFrame(halfRequest, request, wire.MaxCallBytes); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := wire.ReadFrame(halfRequest, &wire.Response{}, wire.MaxCallBytes); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = halfRequest.Write([]byte{0, 0})
+	request.Kind = wire.CallKind_CALL_KIND_GOSSIP
+	if _, err := wire.WriteFrame(unread, request, wire.MaxCallBytes); err != nil {
+		t.Fatal(err)
+	}
+	waitUntil(t, "the transfers to begin", func() bool { return messageBytes(p) >= copiesPerByte*(1<<20+2) })
+	for _, end := range p.ledger.expire(time.Now().Add(transferTimeout - time.Second)) {
+		t.Error("a transfer ends before its time")
+		end()
+	}
+	for _, end := range p.ledger.expire(time.Now().Add(transferTimeout + time.Second)) {
+		end()
+	}
+	for name, stream := range map[string]*yamux.Stream{"half a request": halfRequest, "an unread reply": unread} {
+		if _, err := io.Copy(io.Discard, stream); err != nil {
+			t.Errorf("%s: read until the peer closes the stream: %v", name, err)
+		}
+		_ = stream.Close()
+	}
+	if n := p.counters.transfersExpired.Load(); n != 2 || session.IsClosed() {
+		t.Errorf("%d transfers expired, link closed %v, want 2 and false", n, session.IsClosed())
+	}
+	waitUntil(t, "all bytes to be released", func() bool { return messageBytes(p) == 0 })
+}
+
 // TestManyStreamsEndTheLink guards against streams without end that this host keeps account of.
 func TestManyStreamsEndTheLink(t *testing.T) {
 	f := newLedger(nil).newInflow(func(error) {})
--- a/internal/edge/mesh/link.go
+++ b/internal/edge/mesh/link.go
@@ -38,6 +38,7 @@
 
 func newLink(m *Mesh, session *yamux.Session, framed *frameConn, heartbeats *yamux.Stream, h *wire.Hello) *link {
 	framed.waits.add(heartbeats)
+	framed.inflow.attach(heartbeats.StreamID(), func() { m.endTransfer(h.GetHost(), heartbeats) })
 	l := &link{
 		mesh:        m,
 		peer:        h.GetHost(),
@@ -66,6 +67,14 @@
 	return c
 }
 
+// endTransfer ends the waits on a stream whose request or reply was not transferred in time.
+func (m *Mesh) endTransfer(peer string, stream *yamux.Stream) {
+	m.counters.transfersExpired.Add(1)
+	m.options.Log.Warn().Str("event", "mesh_transfer_expired").Str("peer", peer).
+		Str("reason", "request or reply was not transferred in time").Dur("limit", transferTimeout).Send()
+	_ = stream.SetDeadline(past)
+}
+
 // countCall counts a call in progress and returns the function that ends it.
 func (l *link) countCall() (end func()) {
 	l.calls.Add(1)
