Fleet: bound the members that peers can name

Cause: every name in a gossip message was remembered, so that any peer could fill the memory with members, and each change copies all of them. Found by reading.

Updates of known members are applied as before.

Before: TestMembersAreBounded failed with "8194 members, 0 ignored, want 8192 and 2". A flood of names that are taken for hosts still keeps new hosts out until enough of these names have been found not to answer.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -46,6 +46,10 @@
 	// departedRetention is how long a departed member is remembered. It is far longer than
 	// an update takes to reach all hosts, and longer than a partition between regions lasts.
 	departedRetention = 10 * time.Minute
+	// maxMembers bounds the members that are remembered, departed ones included. Any peer may name some.
+	maxMembers = 8192
+	// maxDescriptionBytes bounds the strings of a member's description together.
+	maxDescriptionBytes = 1024
 )
 
 // Event is an input to the Fleet.
@@ -101,6 +105,8 @@
 	// Roster is the new roster, nil if it did not change.
 	Roster  *Roster
 	Records []decision.Record
+	// Ignored is the number of descriptions that exceeded maxMembers or maxDescriptionBytes.
+	Ignored int
 }
 
 // Reset empties the effects and keeps their memory for reuse.
@@ -346,11 +352,16 @@
 }
 
 func (f *Fleet) handleMessage(now clock.Instant, ev *MessageReceived, fx *Effects) {
-	changes := f.changes
+	changes, ignored := f.changes, fx.Ignored
 	f.applyMember(now, ev.From, "reported by the host itself", fx)
 	for _, m := range ev.Members {
 		f.applyMember(now, m, "reported by "+ev.From.Host, fx)
 	}
+	if n := fx.Ignored - ignored; n > 0 {
+		fx.Records = append(fx.Records, decision.Warning("hosts_ignored",
+			decision.Int("count", n), decision.Int("known", len(f.members)+1), decision.Int("limit", maxMembers),
+			decision.Int("description_limit_bytes", maxDescriptionBytes)))
+	}
 	if news := f.changes - changes; news > 0 && news*joinShare >= len(f.members) {
 		f.exchangesSinceJoin = 0
 	}
@@ -376,6 +387,8 @@
 		if m.Departed && !known.Departed {
 			f.markDeparted(now, known, source, fx)
 		}
+	case m.descriptionBytes() > maxDescriptionBytes, known == nil && len(f.members) >= maxMembers:
+		fx.Ignored++
 	default:
 		f.members[m.Host] = &memberState{Member: m}
 		f.countChange()
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -314,6 +315,29 @@
 	}
 }
 
+// TestMembersAreBounded guards against a peer that fills the memory with names of hosts.
+func TestMembersAreBounded(t *testing.T) {
+	f, fx := New(member(0), nil, 1), &Effects{}
+	flood := &MessageReceived{From: member(1), Members: []Member{{Host: strings.Repeat("x", maxDescriptionBytes+1), Started: 1}}}
+	for i := 2; len(flood.Members) <= maxMembers; i++ {
+		flood.Members = append(flood.Members, member(i))
+	}
+	f.Step(clock.Instant{}, flood, fx)
+	if len(f.members) != maxMembers || fx.Ignored != 2 {
+		t.Errorf("%d members, %d ignored, want %d and 2", len(f.members), fx.Ignored, maxMembers)
+	}
+	if r := fx.Records[len(fx.Records)-1]; r.Event != "hosts_ignored" {
+		t.Errorf("last record %q, want hosts_ignored", r.Event)
+	}
+	fx.Reset()
+	restarted := member(1)
+	restarted.Started++
+	f.Step(clock.Instant{}, &MessageReceived{From: restarted}, fx)
+	if fx.Ignored != 0 || f.members[restarted.Host].Started != restarted.Started {
+		t.Errorf("%d ignored, start %d of a known host, want 0 and %d", fx.Ignored, f.members[restarted.Host].Started, restarted.Started)
+	}
+}
+
 // TestSnapshotsConvergeAfterRandomFailures stops, starts and isolates hosts at random, and
 // checks that all snapshots are the same after a quiet period.
 func TestSnapshotsConvergeAfterRandomFailures(t *testing.T) {
--- a/internal/core/fleet/member.go
+++ b/internal/core/fleet/member.go
@@ -26,6 +26,11 @@
 	Departed bool
 }
 
+// descriptionBytes returns the length of the strings.
+func (m *Member) descriptionBytes() int {
+	return len(m.Host) + len(m.Zone) + len(m.Region) + len(m.Address)
+}
+
 // hash covers all fields but Departed.
 func (m *Member) hash() uint64 {
 	return xxhash.Sum64String(m.Host + "\x00" + m.Zone + "\x00" + m.Region + "\x00" + m.Address + "\x00" +
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -45,6 +45,8 @@
 	log         zerolog.Logger
 	// table holds the members that this host sends to peers.
 	table atomic.Pointer[fleet.Snapshot]
+	// ignored is the number of descriptions of hosts that exceeded the bounds of the fleet core.
+	ignored atomic.Uint64
 }
 
 func newFleetDuty(s *Settings, clk sysclock.Clock, seed uint64, log zerolog.Logger, tr *transits, dial mesh.DialFunc, budget *memory.Budget, onPanic func(error)) (*fleetDuty, error) {
@@ -118,6 +120,7 @@
 	for i := range fx.Records {
 		f.record(&fx.Records[i])
 	}
+	f.ignored.Add(uint64(fx.Ignored))
 	if fx.Roster != nil {
 		f.table.Store(fx.Roster.Snapshot)
 		f.updateMesh(fx.Roster.Snapshot.Members())
