--- a/internal/edge/mesh/call.go
+++ b/internal/edge/mesh/call.go
@@ -116,7 +116,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
 	resp := &wire.Response{}
-	if err := m.readFrame(stream, resp, wire.MaxCallBytes); err != nil {
+	if _, err := m.readFrame(stream, resp, wire.MaxCallBytes); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
 	if resp.GetStatus() != wire.Status_STATUS_OK {
@@ -217,16 +217,19 @@
 }
 
 // serveCalls serves the calls on a stream, one after another, until the peer closes it. The first
-// request must arrive within requestTimeout.
+// request must arrive within requestTimeout. Once a request or a reply has begun, it must be transferred
+// within transferTimeout.
 func (l *link) serveCalls(stream *yamux.Stream) {
 	l.streams.waits.add(stream)
+	l.inflow.attach(stream.StreamID(), func() { l.mesh.endTransfer(l.peer, stream) })
 	defer l.streams.close(stream)
+	defer l.inflow.close(stream.StreamID())
 	if err := l.streams.waits.setReadDeadline(stream, time.Now().Add(requestTimeout)); err != nil {
 		return
 	}
-	for l.serveCall(stream) {
+	for first := true; l.serveCall(stream); first = false {
 		stream.Shrink()
-		if err := l.streams.waits.setReadDeadline(stream, time.Time{}); err != nil {
+		if first && l.streams.waits.setReadDeadline(stream, time.Time{}) != nil {
 			return
 		}
 	}
@@ -236,16 +239,26 @@
 // stream may be used again.
 func (l *link) serveCall(stream *yamux.Stream) bool {
 	req := &wire.Request{}
-	if err := l.mesh.readFrame(stream, req, wire.MaxCallBytes); err != nil {
+	id := stream.StreamID()
+	n, err := l.mesh.readFrame(stream, req, wire.MaxCallBytes)
+	if err != nil {
 		return false
 	}
 	defer l.countCall()()
+	if !l.inflow.serve(id, n) {
+		l.mesh.counters.callsRefused.Add(1)
+		l.mesh.options.Log.Warn().Str("event", "mesh_call_refused").Str("peer", l.peer).Str("reason", "no memory is left for calls").Send()
+		defer l.inflow.done(id, n)
+		return writeFrame(stream, &wire.Response{Status: wire.Status_STATUS_BUSY}, wire.MaxCallBytes) == nil
+	}
 	l.mesh.counters.callsServed.Add(1)
 	resp := &wire.Response{Status: wire.Status_STATUS_UNKNOWN_KIND}
 	if h := l.mesh.handler(req.GetKind()); h != nil {
 		resp.Payload = h(l.peer, req.GetPayload())
 		resp.Status = wire.Status_STATUS_OK
 	}
+	l.inflow.transfer(id, len(resp.GetPayload()))
+	defer l.inflow.done(id, n+len(resp.GetPayload()))
 	return writeFrame(stream, resp, wire.MaxCallBytes) == nil
 }
 
@@ -255,6 +268,7 @@
 	if stream.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
 		_ = writeFrame(stream, &wire.Response{Status: wire.Status_STATUS_BUSY}, wire.MaxCallBytes)
 	}
+	l.inflow.close(stream.StreamID())
 	_ = stream.Close()
 }
 
