Gateway: bound the memory of the gossip that waits

Cause: the ring of the fleet duty holds 512 events, each of which may be a decoded message of up to 1 MB from a peer; the accounts of the mesh end with the answer. Found by reading.

The messages that wait take 16 MiB at most, beyond the first one. Further ones are dropped, as with a full ring: a later exchange repeats their content. Drops of either kind now have a counter and a log line (gossip_dropped).

Before: TestQueuedGossipIsBounded, without the new condition, failed with "256 messages of 1 MiB were queued, 0 dropped, want 16 queued at most".

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -65,6 +65,18 @@
 	Members []Member
 }
 
+// memberBytes is the size of a Member without its strings, rounded up.
+const memberBytes = 128
+
+// Bytes returns the memory that the message takes.
+func (m *MessageReceived) Bytes() int {
+	n := memberBytes + m.From.descriptionBytes()
+	for i := range m.Members {
+		n += memberBytes + m.Members[i].descriptionBytes()
+	}
+	return n
+}
+
 // ExchangeEnded reports the end of an exchange that this host started.
 type ExchangeEnded struct {
 	// Host is the member, "" if the exchange was with whichever host is at Address.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"pollentack.example/pollentack/internal/core/clock"
 	"pollentack.example/pollentack/internal/core/decision"
 	"pollentack.example/pollentack/internal/core/fleet"
 	"pollentack.example/pollentack/internal/core/membership"
@@ -27,6 +28,9 @@
 	// fleetReserve is the room for the events that nothing repeats. There is one exchange at a
 	// time, one start and one stop; only changes of the settings may come more often.
 	fleetReserve = 32
+	// maxQueuedGossipBytes bounds the memory of the gossip messages that wait for the fleet duty, beyond the
+	// first one. Further ones are dropped, as if the ring were full.
+	maxQueuedGossipBytes = 16 << 20
 	// gossipTimeout is the timeout of each message of a gossip exchange.
 	gossipTimeout = time.Second
 )
@@ -47,6 +51,10 @@
 	table atomic.Pointer[fleet.Snapshot]
 	// ignored is the number of descriptions of hosts that exceeded the bounds of the fleet core.
 	ignored atomic.Uint64
+	// queuedBytes is the memory of the messages in the inbox and of the one that is being handled, dropped
+	// the number of messages that found no room.
+	queuedBytes atomic.Int64
+	dropped     atomic.Uint64
 }
 
 func newFleetDuty(s *Settings, clk sysclock.Clock, seed uint64, log zerolog.Logger, tr *transits, dial mesh.DialFunc, budget *memory.Budget, onPanic func(error)) (*fleetDuty, error) {
@@ -92,9 +100,30 @@
 // The end of a link does not mean that the peer failed, since the next call opens a new link.
 func (f *fleetDuty) ignoreLinkEvent(membership.Event) bool { return true }
 
-// putMessage queues a peer's message, or drops it if the ring is full.
+// putMessage queues a peer's message, or drops it if there is no room.
 func (f *fleetDuty) putMessage(in *fleet.Message) {
-	f.inbox.PutWithReserve(&fleet.MessageReceived{From: in.From, Members: in.Members}, fleetReserve)
+	m := &fleet.MessageReceived{From: in.From, Members: in.Members}
+	n := int64(m.Bytes())
+	queued := f.queuedBytes.Add(n)
+	if queued > max(n, maxQueuedGossipBytes) || !f.inbox.PutWithReserve(m, fleetReserve) {
+		f.queuedBytes.Add(-n)
+		f.dropped.Add(1)
+		f.log.Warn().Str("event", "gossip_dropped").Int64("queued_bytes", queued).Str("reason", "too many messages wait").Send()
+	}
+}
+
+// accountedFleet is the fleet core, which releases the memory of the messages that it has handled.
+type accountedFleet struct {
+	*fleet.Fleet
+	queuedBytes *atomic.Int64
+}
+
+// Step handles one event.
+func (f accountedFleet) Step(now clock.Instant, ev fleet.Event, fx *fleet.Effects) {
+	f.Fleet.Step(now, ev, fx)
+	if m, ok := ev.(*fleet.MessageReceived); ok {
+		f.queuedBytes.Add(-int64(m.Bytes()))
+	}
 }
 
 // put queues an event of this host, for which there is room until the duty has stopped.
@@ -112,7 +141,7 @@
 }
 
 func (f *fleetDuty) run() {
-	s := steppedDuty[fleet.Event, fleet.Effects]{clock: f.clock, inbox: f.inbox, core: f.fleet, applyEffects: f.applyEffects}
+	s := steppedDuty[fleet.Event, fleet.Effects]{clock: f.clock, inbox: f.inbox, core: accountedFleet{f.fleet, &f.queuedBytes}, applyEffects: f.applyEffects}
 	s.run(&fleet.Start{})
 }
 
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -32,6 +33,28 @@
 	}
 }
 
+// TestQueuedGossipIsBounded guards against peers that fill the memory with messages faster than they are
+// handled.
+func TestQueuedGossipIsBounded(t *testing.T) {
+	f := &fleetDuty{inbox: ring.New[fleet.Event]("fleet", fleetCapacity), log: zerolog.Nop()}
+	large := &fleet.Message{From: fleet.Member{Host: strings.Repeat("x", 1<<20)}}
+	for range fleetCapacity / 2 {
+		f.putMessage(large)
+	}
+	batch := make([]fleet.Event, fleetCapacity)
+	n, _ := f.inbox.Take(batch, 0)
+	if n == 0 || n > maxQueuedGossipBytes>>20 || f.dropped.Load() != uint64(fleetCapacity/2-n) {
+		t.Fatalf("%d messages of 1 MiB were queued, %d dropped, want %d queued at most", n, f.dropped.Load(), maxQueuedGossipBytes>>20)
+	}
+	core := accountedFleet{fleet.New(fleet.Member{Host: "self"}, nil, 1), &f.queuedBytes}
+	for _, ev := range batch[:n] {
+		core.Step(clock.Instant{}, ev, &fleet.Effects{})
+	}
+	if left := f.queuedBytes.Load(); left != 0 {
+		t.Errorf("%d bytes are held after all messages were handled, want 0", left)
+	}
+}
+
 // FuzzServeGossip passes any payload of a peer to the handler and to the core, which must answer
 // or ignore it, and must still know themselves.
 func FuzzServeGossip(f *testing.F) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -93,6 +93,7 @@
 	StoreItems     StoreItems     `json:"store_items"`
 	Mesh           mesh.Stats     `json:"mesh"`
 	HostsIgnored   uint64         `json:"hosts_ignored"`
+	GossipDropped  uint64         `json:"gossip_dropped"`
 	// Panics is the number of panics that ended only the work for one request or message.
 	Panics uint64 `json:"panics"`
 	// RelayRestarts is the number of panics after which the relay began anew.
@@ -115,7 +116,7 @@
 		ReplyMemory:    ReplyMemory{Limit: g.settings.replyBytes(), Used: g.client.ReplyBytes()},
 		StoreCalls:     g.discovery.store.Calls(), StoreFailures: g.discovery.store.FailedCalls(),
 		StoreItems: g.discovery.catalog.usage(),
-		Mesh:       g.fleet.mesh.Stats(), HostsIgnored: g.fleet.ignored.Load(),
+		Mesh:       g.fleet.mesh.Stats(), HostsIgnored: g.fleet.ignored.Load(), GossipDropped: g.fleet.dropped.Load(),
 		Panics: g.panics.Count(), RelayRestarts: g.relay.restarts.count.Load(),
 		Rings: []ring.Stats{g.relay.inbox.Stats(), g.upstream.inbox.Stats(), g.discovery.inbox.Stats()},
 	}
