Fleet: ignore messages whose sender's description is too long

Cause: the name of a message's sender, up to 1 MB, went into the log line of every member that it declares departed. Found while bounding the members.

Before: TestMembersAreBounded failed with "1 ignored, 2 records for a message of a host with a long name, want 2 and 1".

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -365,9 +365,13 @@
 
 func (f *Fleet) handleMessage(now clock.Instant, ev *MessageReceived, fx *Effects) {
 	changes, ignored := f.changes, fx.Ignored
-	f.applyMember(now, ev.From, "reported by the host itself", fx)
-	for _, m := range ev.Members {
-		f.applyMember(now, m, "reported by "+ev.From.Host, fx)
+	if ev.From.descriptionBytes() > maxDescriptionBytes {
+		fx.Ignored += 1 + len(ev.Members)
+	} else {
+		f.applyMember(now, ev.From, "reported by the host itself", fx)
+		for _, m := range ev.Members {
+			f.applyMember(now, m, "reported by "+ev.From.Host, fx)
+		}
 	}
 	if n := fx.Ignored - ignored; n > 0 {
 		fx.Records = append(fx.Records, decision.Warning("hosts_ignored",
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -330,6 +330,11 @@
 		t.Errorf("last record %q, want hosts_ignored", r.Event)
 	}
 	fx.Reset()
+	f.Step(clock.Instant{}, &MessageReceived{From: flood.Members[0], Members: []Member{{Host: "h02", Started: 1, Departed: true}}}, fx)
+	if fx.Ignored != 2 || len(fx.Records) != 1 {
+		t.Errorf("%d ignored, %d records for a message of a host with a long name, want 2 and 1", fx.Ignored, len(fx.Records))
+	}
+	fx.Reset()
 	restarted := member(1)
 	restarted.Started++
 	f.Step(clock.Instant{}, &MessageReceived{From: restarted}, fx)
