--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -65,6 +65,18 @@
 	Members []Member
 }
 
+// memberBytes is the size of a Member without its strings, rounded up.
+const memberBytes = 128
+
+// Bytes returns the memory that the message takes.
+func (m *MessageReceived) Bytes() int {
+	n := memberBytes + m.From.descriptionBytes()
+	for i := range m.Members {
+		n += memberBytes + m.Members[i].descriptionBytes()
+	}
+	return n
+}
+
 // ExchangeEnded reports the end of an exchange that this host started.
 type ExchangeEnded struct {
 	// Host is the member, "" if the exchange was with whichever host is at Address.
@@ -353,9 +365,13 @@
 
 func (f *Fleet) handleMessage(now clock.Instant, ev *MessageReceived, fx *Effects) {
 	changes, ignored := f.changes, fx.Ignored
-	f.applyMember(now, ev.From, "reported by the host itself", fx)
-	for _, m := range ev.Members {
-		f.applyMember(now, m, "reported by "+ev.From.Host, fx)
+	if ev.From.descriptionBytes() > maxDescriptionBytes {
+		fx.Ignored += 1 + len(ev.Members)
+	} else {
+		f.applyMember(now, ev.From, "reported by the host itself", fx)
+		for _, m := range ev.Members {
+			f.applyMember(now, m, "reported by "+ev.From.Host, fx)
+		}
 	}
 	if n := fx.Ignored - ignored; n > 0 {
 		fx.Records = append(fx.Records, decision.Warning("hosts_ignored",
