--- a/cmd/pollentack/start_test.go
+++ b/cmd/pollentack/start_test.go
@@ -163,6 +163,7 @@
 		port int
 	}{{"gateway", 0}, {"gateway", 1}, {"gateway", 2}, {"gateway", metricsPort}, {"serve", 0}, {"serve", 1}, {"serve", 2}} {
 		t.Run(fmt.Sprintf("%s port %d", tt.host, tt.port), func(t *testing.T) {
+			t.Parallel()
 			h := hosts[tt.host](t)
 			held, err := net.Listen("tcp", loopbackAddress(h.firstPort+tt.port))
 			if err != nil {
